--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -11,7 +11,7 @@
 
 from orchidrail.journal import JournalView
 from orchidrail.peers.table import PeerTable
-from orchidrail.shard.owner import stored_phase
+from orchidrail.shard.owner import ShardOwner, stored_phase
 from orchidrail.types import CallFailure, JobId, Seconds, WorkCode
 from orchidrail.wire.messages import (
     CancelWork,
@@ -58,6 +58,8 @@
         This process's copy of the journal, read now and then.
     handle_here : callable
         Answers a message as this process answers its peers.
+    local_owner : callable
+        Returns the owner in this process, None if another has the shard.
     clock : callable
         Monotonic seconds.
     """
@@ -68,6 +70,7 @@
         transport: Transport,
         view: JournalView,
         handle_here: Callable[[Message], Awaitable[Message]],
+        local_owner: Callable[[], ShardOwner | None],
         clock: Callable[[], Seconds],
     ) -> None:
         """Hold the ways to the owner."""
@@ -75,6 +78,7 @@
         self._transport = transport
         self._view = view
         self._handle_here = handle_here
+        self._local_owner = local_owner
         self._clock = clock
 
     async def submit(
@@ -127,6 +131,9 @@
 
     def waiting(self, queue: QueueSettings) -> int:
         """Return how many jobs of a queue wait, as the owner told last."""
+        owner = self._local_owner()
+        if owner is not None:
+            return owner.waiting_by_queue()[queue.name]
         return self._table.waiting_by_queue.get(queue.name, 0)
 
     def _given_up(
--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -107,6 +107,7 @@
             self._transport,
             self._journal,
             self._service.handle,
+            lambda: self.ownership.owner,
             time.monotonic,
         )
         self.stopping = False
--- /dev/null
+++ b/orchidrail/journal/tests/test_follower.py
@@ -0,0 +1,57 @@
+"""Tests of reading a journal."""
+
+from __future__ import annotations
+
+import asyncio
+
+from testtools import TestCase
+
+from orchidrail.journal import JournalView
+from orchidrail.store import KeyedRecord, Topic
+from orchidrail.store.memory import MemoryStore, StoreFault
+
+_TOPIC = Topic('journal')
+
+
+def _records(*names: str) -> list[KeyedRecord]:
+    return [KeyedRecord(name, name.encode()) for name in names]
+
+
+class FollowerTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = MemoryStore()
+        self.view = JournalView(self.store, _TOPIC)
+
+    def _append(self, *records: KeyedRecord) -> None:
+        asyncio.run(self.store.append(_TOPIC, list(records)))
+
+    def test_reads_the_newest_by_key(self) -> None:
+        self._append(KeyedRecord('a', b'1'), KeyedRecord('b', b'2'))
+        self._append(KeyedRecord('a', b'3'), KeyedRecord('b', b''))
+        self.assertTrue(asyncio.run(self.view.catch_up()))
+        self.assertEqual({'a': b'3'}, self.view.value_by_key)
+
+    def test_two_readers_at_once_skip_nothing(self) -> None:
+        async def read_twice() -> None:
+            await self.view.catch_up()
+            await self.store.append(_TOPIC, _records('a', 'b'))
+            await asyncio.gather(self.view.catch_up(), self.view.catch_up())
+            await self.store.append(_TOPIC, _records('c'))
+            await self.view.catch_up()
+
+        asyncio.run(read_twice())
+        self.assertEqual({'a', 'b', 'c'}, set(self.view.value_by_key))
+
+    def test_lists_anew_when_the_history_ran_away(self) -> None:
+        self._append(*_records('a'))
+        asyncio.run(self.view.catch_up())
+        self._append(*_records('b', 'c'))
+        self._append(KeyedRecord('a', b''))
+        self.store.trim(_TOPIC, 4)
+        self.assertTrue(asyncio.run(self.view.catch_up()))
+        self.assertEqual({'b', 'c'}, set(self.view.value_by_key))
+
+    def test_says_that_it_could_not_read(self) -> None:
+        self.store.fault = StoreFault.REFUSES
+        self.assertFalse(asyncio.run(self.view.catch_up()))
--- /dev/null
+++ b/orchidrail/journal/tests/test_writer.py
@@ -0,0 +1,140 @@
+"""Tests of the fence and of appends whose outcome is not known."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from testtools import TestCase
+from testtools.matchers import HasLength
+
+from orchidrail.journal import JournalView, JournalWriter, TakeOverError
+from orchidrail.journal.writer import current_owner, take_over
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore, StoreFault
+from orchidrail.types import Address, Epoch, InstanceId
+from orchidrail.work.model import MemberInfo
+
+_TOPIC = Topic('journal')
+_SOON = 2
+
+
+def _member(name: str) -> MemberInfo:
+    return MemberInfo(InstanceId(name), Address(name), 'zone', f'{name}-1')
+
+
+class WriterTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = MemoryStore()
+
+    def _view(self) -> JournalView:
+        return JournalView(self.store, _TOPIC)
+
+    async def _take(self, name: str, epoch: int) -> JournalWriter:
+        return await take_over(
+            self._view(),
+            _member(name),
+            time.monotonic,
+            Epoch(epoch),
+        )
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        asyncio.run(asyncio.wait_for(work, _SOON))
+
+    def test_one_of_two_contenders_wins(self) -> None:
+        async def contend() -> None:
+            outcomes = await asyncio.gather(
+                self._take('a', 0),
+                self._take('b', 0),
+                return_exceptions=True,
+            )
+            won = [one for one in outcomes if isinstance(one, JournalWriter)]
+            lost = [one for one in outcomes if isinstance(one, TakeOverError)]
+            self.assertThat(won, HasLength(1))
+            self.assertThat(lost, HasLength(1))
+
+        self._run(contend())
+
+    def test_a_newer_owner_is_left_alone(self) -> None:
+        async def come_late() -> None:
+            await self._take('a', 0)
+            self.assertEqual(1, (await self._take('b', 1)).owner.epoch - 1)
+            try:
+                await self._take('c', 1)
+            except TakeOverError as error:
+                self.assertIn('expected epoch 1, got 2', str(error))
+            else:
+                self.fail('took over from a newer owner')
+
+        self._run(come_late())
+
+    def test_a_former_owner_writes_nothing_more(self) -> None:
+        async def replace() -> None:
+            first = await self._take('a', 0)
+            writing = asyncio.create_task(first.run())
+            self.assertTrue(await first.put('x', b'1').wait())
+            second = await self._take('b', 1)
+            self.assertFalse(await first.put('x', b'2').wait())
+            await writing
+            self.assertTrue(first.fenced.is_set())
+            self.assertEqual(b'1', second.view.value_by_key['x'])
+
+        self._run(replace())
+
+    def test_an_append_whose_answer_was_lost_is_found(self) -> None:
+        async def lose() -> None:
+            writer = await self._take('a', 0)
+            self.store.fault = StoreFault.LOSES_ANSWERS
+            before = self.store.appends
+            writing = asyncio.create_task(writer.run())
+            self.assertTrue(await writer.put('x', b'1').wait())
+            self.assertEqual(before + 1, self.store.appends)
+            writing.cancel()
+
+        self._run(lose())
+
+    def test_an_append_that_was_swallowed_is_sent_again(self) -> None:
+        async def swallow() -> None:
+            writer = await self._take('a', 0)
+            self.store.fault = StoreFault.SWALLOWS
+            writing = asyncio.create_task(writer.run())
+            commit = writer.put('x', b'1')
+            await asyncio.sleep(0.05)
+            self.assertFalse(commit.committed)
+            self.store.fault = None
+            self.assertTrue(await commit.wait())
+            writing.cancel()
+
+        self._run(swallow())
+
+    def test_flush_waits_for_the_batch_that_is_being_written(self) -> None:
+        async def flush() -> None:
+            writer = await self._take('a', 0)
+            writing = asyncio.create_task(writer.run())
+            self.store.fault = StoreFault.REFUSES
+            commit = writer.put('x', b'1')
+            # The batch has left the writer's hands but is not in the store.
+            await asyncio.sleep(0.05)
+            flushing = asyncio.create_task(writer.flush())
+            await asyncio.sleep(0.05)
+            self.assertFalse(flushing.done())
+            self.store.fault = None
+            self.assertTrue(await flushing)
+            self.assertTrue(commit.committed)
+            writing.cancel()
+
+        self._run(flush())
+
+    def test_the_owner_is_named_in_the_journal(self) -> None:
+        async def name() -> None:
+            await self._take('a', 0)
+            view = self._view()
+            await view.catch_up()
+            owner = current_owner(view)
+            assert owner is not None
+            self.assertEqual(('a', 1), (owner.holder, owner.epoch))
+
+        self._run(name())
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -30,7 +30,9 @@
     """
 
     key: RunKey
-    size: Size
+    #: None for a run of an earlier owner whose job has ended: its room is
+    #: not known, so the worker gets nothing while it is there.
+    size: Size | None
     task: Task | None
     placed_at: Seconds
     confirmed_at: Seconds = math.inf
@@ -56,6 +58,7 @@
         self.held_by_step: dict[str, Size] = {}
         self.count_by_step: Counter[str] = Counter()
         self.rests_until: Seconds = 0
+        self._unsized = 0
         #: Whether the store still lists this life.
         self.listed = True
         #: Grows whenever room is freed or the standing changes.
@@ -71,6 +74,7 @@
         return (
             self.session.reachable
             and not self.session.over
+            and not self._unsized
             and self.entry.state is WorkerState.READY
             and now >= self.rests_until
         )
@@ -84,7 +88,10 @@
         if run.key in self.run_by_key:
             return
         self.run_by_key[run.key] = run
-        self.free -= run.size
+        if run.size is None:
+            self._unsized += 1
+        else:
+            self.free -= run.size
         self.count_by_step[step_key] += 1
 
     def release(self, key: RunKey) -> PlacedRun | None:
@@ -92,7 +99,10 @@
         run = self.run_by_key.pop(key, None)
         if run is None:
             return None
-        self.free += run.size
+        if run.size is None:
+            self._unsized -= 1
+        else:
+            self.free += run.size
         step_key = key.task.rpartition('.')[0]
         self.count_by_step[step_key] -= 1
         if not self.count_by_step[step_key]:
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -161,18 +161,22 @@
         job = Job(job_id, record)
         self.state.job_by_id[job_id] = job
         commit = self.writer.put(job_key(job_id), encode(record))
-        if not await commit.wait():
-            return None
+        # The caller may leave before the answer: this must happen all the same.
+        commit.then(lambda committed: self._accept(job, committed))
+        return await commit.wait() or None
+
+    def _accept(self, job: Job, committed: bool) -> None:
+        if not committed:
+            return
         _log.info(
             'job accepted',
-            job=job_id,
-            queue=queue.name,
-            tasks=sum(step.count for step in spec.steps),
+            job=job.job_id,
+            queue=job.queue.name,
+            tasks=sum(step.count for step in job.spec.steps),
             epoch=self.writer.owner.epoch,
         )
         if not job.ended:
             self.state.note_change(job)
-        return True
 
     def knows(self, job_id: JobId) -> bool:
         """Whether a job of this id was ever taken."""
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -14,7 +14,6 @@
 from orchidrail.shard.state import ShardState
 from orchidrail.types import RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Job, StepState, Task
-from orchidrail.work.model import Size
 from orchidrail.work.records import TaskPhase
 from orchidrail.workers.port import (
     ActiveRun,
@@ -292,7 +291,7 @@
         """Take over a run that an earlier owner started."""
         task = self._state.find_task(active.key.task)
         now = self._state.clock()
-        size = task.step.spec.charged if task else Size()
+        size = task.step.spec.charged if task else None
         run = PlacedRun(active.key, size, task, now, confirmed_at=now)
         books.charge(run, active.key.task.rpartition('.')[0])
         unlogged = (
--- /dev/null
+++ b/orchidrail/shard/tests/test_owner.py
@@ -0,0 +1,113 @@
+"""Tests of what an owner promises about jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from result import Err
+
+from orchidrail.journal import JournalView
+from orchidrail.journal.writer import take_over
+from orchidrail.shard.owner import OwnerPorts, ShardOwner
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore, StoreFault
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import Address, Epoch, InstanceId, JobId
+from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
+from orchidrail.work.records import JobPhase
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.port import Advice
+from orchidrail.workers.tests.fakes import FakeWorker
+
+_ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
+_JOB = JobId('0123456789abcdef')
+_QUEUE = make_job(StepSpec(1)).queue
+_SPEC = JobSpec('text', (StepSpec(1),))
+
+
+async def _no_advice(*_: object) -> Advice:
+    return Advice({}, 0)
+
+
+class OwnerTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = MemoryStore()
+
+    async def take(self, epoch: int) -> ShardOwner:
+        view = JournalView(self.store, Topic('journal'))
+        writer = await take_over(view, _ME, time.monotonic, Epoch(epoch))
+        ports = OwnerPorts(
+            worker_view=JournalView(self.store, Topic('workers')),
+            worker_calls=FakeWorker(),
+            decode_entry=lambda key, raw: Err(f'{key!r} {raw!r}'),
+            ask=_no_advice,
+            clock=time.monotonic,
+            wall_clock=time.time,
+            in_contact=lambda: True,
+            longest_lease=6,
+            stop_takes=0,
+            status_kept=120,
+        )
+        return ShardOwner(writer, ports)
+
+    def play(self, scene: Callable[[ShardOwner], Awaitable[None]]) -> None:
+        """Run a scene beside the owner."""
+
+        async def run() -> None:
+            owner = await self.take(0)
+            running = asyncio.create_task(owner.run())
+            try:
+                await scene(owner)
+            finally:
+                running.cancel()
+
+        self.run_async(run())
+
+    def test_a_caller_that_leaves_does_not_strand_its_job(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            submitting = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
+            await asyncio.sleep(0)
+            submitting.cancel()
+            await asyncio.sleep(0.1)
+            self.assertEqual(JobPhase.QUEUED, owner.phase(_JOB))
+            self.assertIn(_JOB, owner.placer._steps_by_job)
+
+        self.play(scene)
+
+    def test_a_job_is_accepted_once(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            outcomes = await asyncio.gather(
+                owner.submit(_JOB, _QUEUE, _SPEC),
+                owner.submit(_JOB, _QUEUE, _SPEC),
+            )
+            self.assertEqual([True, True], outcomes)
+            self.assertEqual(1, len(owner.state.job_by_id))
+
+        self.play(scene)
+
+    def test_a_job_is_refused_while_the_journal_is_silent(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.REFUSES
+            owner.writer.confirmed_at -= 2
+            self.assertIs(False, await owner.submit(_JOB, _QUEUE, _SPEC))
+            self.store.fault = None
+            await asyncio.sleep(0.6)
+            self.assertIsNone(owner.phase(_JOB))
+
+        self.play(scene)
+
+    def test_the_next_owner_knows_what_was_accepted(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await owner.submit(_JOB, _QUEUE, _SPEC)
+            other = JobId('f' * 16)
+            await owner.submit(other, _QUEUE, _SPEC)
+            await owner.cancel(other)
+            following = await self.take(1)
+            self.assertEqual(JobPhase.QUEUED, following.phase(_JOB))
+            self.assertEqual(JobPhase.CANCELLED, following.phase(other))
+            self.assertIsNone(following.phase(JobId('0' * 16)))
+
+        self.play(scene)
--- /dev/null
+++ b/orchidrail/shard/tests/test_runs.py
@@ -0,0 +1,211 @@
+"""Tests of starts, stops and ends over a real journal and a fake worker."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from orchidrail.journal import JournalView, JournalWriter
+from orchidrail.journal.writer import take_over
+from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.placing import Placement
+from orchidrail.shard.runs import RunTracker
+from orchidrail.shard.state import ShardState
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore, StoreFault
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import Address, Epoch, InstanceId, RunNumber, TaskKey
+from orchidrail.work.job import Job, StepState
+from orchidrail.work.model import MemberInfo, Size, StepSpec
+from orchidrail.work.records import JobPhase, TaskPhase
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.lease import RunLease
+from orchidrail.workers.port import ActiveRun, OrderResult, RunEnding, RunKey
+from orchidrail.workers.session import WorkerSession
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+
+_ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
+_SOON = 0.05
+
+
+class _Shard:
+    """One worker, one journal and the tracker between them."""
+
+    def __init__(self, writer: JournalWriter) -> None:
+        self.store = writer.view.store
+        self.unlogged = False
+        self.fenced = 0
+        self.worker = FakeWorker()
+        self.state = ShardState(writer, time.monotonic, time.time)
+        self.runs = RunTracker(
+            self.state,
+            self._count_fence,
+            lambda: self.unlogged,
+            0,
+        )
+        session = WorkerSession(
+            make_entry(),
+            self.worker,
+            writer.owner.epoch,
+            RunLease(6, 0),
+            self.runs,
+            time.monotonic,
+            lambda: True,
+        )
+        self.books = WorkerBooks(session)
+        self.state.books_by_worker[session.worker] = self.books
+
+    def _count_fence(self) -> None:
+        self.fenced += 1
+
+    def add(self, job: Job) -> StepState:
+        self.state.job_by_id[job.job_id] = job
+        return next(job.open_steps(time.time()))
+
+    def launch(self, step: StepState) -> None:
+        chosen = [Placement(task, self.books) for task in step.startable()]
+        self.runs.launch(step, chosen)
+
+    async def look(self) -> None:
+        await self.books.session._look()
+
+
+class RunsTest(AsyncTestCase):
+    def play(self, scene: Callable[[_Shard], Awaitable[None]]) -> None:
+        """Run a scene beside the journal's writer."""
+
+        async def run() -> None:
+            view = JournalView(MemoryStore(), Topic('journal'))
+            writer = await take_over(view, _ME, time.monotonic, Epoch(0))
+            shard = _Shard(writer)
+            writing = asyncio.create_task(writer.run())
+            await shard.look()
+            try:
+                await scene(shard)
+            finally:
+                shard.runs.close()
+                writing.cancel()
+
+        self.run_async(run())
+
+    def test_a_start_goes_out_once_the_journal_has_it(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            store = shard.store
+            assert isinstance(store, MemoryStore)
+            store.fault = StoreFault.REFUSES
+            shard.launch(shard.add(make_job(StepSpec(1))))
+            await asyncio.sleep(_SOON * 3)
+            self.assertEqual([], shard.worker.starts)
+            store.fault = None
+            await asyncio.sleep(_SOON * 6)
+            self.assertEqual(1, len(shard.worker.starts))
+
+        self.play(scene)
+
+    def test_a_start_goes_out_unlogged_when_allowed(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            store = shard.store
+            assert isinstance(store, MemoryStore)
+            store.fault = StoreFault.REFUSES
+            shard.unlogged = True
+            shard.launch(shard.add(make_job(StepSpec(1))))
+            await asyncio.sleep(_SOON * 4)
+            self.assertEqual(1, len(shard.worker.starts))
+
+        self.play(scene)
+
+    def test_an_end_frees_the_room_and_completes_the_job(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            job = make_job(StepSpec(1, size=Size(500)))
+            shard.launch(shard.add(job))
+            self.assertEqual(63_500, shard.books.free.millicores)
+            await asyncio.sleep(_SOON)
+            shard.worker.end(shard.worker.starts[0].key, RunEnding.DONE)
+            await shard.look()
+            self.assertEqual(64_000, shard.books.free.millicores)
+            self.assertIs(JobPhase.COMPLETED, job.phase)
+
+        self.play(scene)
+
+    def test_a_doubtful_start_keeps_its_room_until_it_is_too_late(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            shard.worker.start_result = OrderResult.UNKNOWN
+            step = shard.add(make_job(StepSpec(1, size=Size(500))))
+            shard.launch(step)
+            await asyncio.sleep(_SOON)
+            await shard.look()
+            self.assertEqual(63_500, shard.books.free.millicores)
+            self.assertIs(TaskPhase.PLACED, step.tasks[0].phase)
+            shard.worker.clock += 2
+            await shard.look()
+            self.assertEqual(64_000, shard.books.free.millicores)
+            self.assertIs(TaskPhase.WAITING, step.tasks[0].phase)
+
+        self.play(scene)
+
+    def test_a_refused_start_is_free_at_once(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            shard.worker.start_result = OrderResult.LATE
+            step = shard.add(make_job(StepSpec(1, size=Size(500))))
+            shard.launch(step)
+            await asyncio.sleep(_SOON)
+            self.assertEqual(64_000, shard.books.free.millicores)
+            self.assertIs(TaskPhase.WAITING, step.tasks[0].phase)
+
+        self.play(scene)
+
+    def test_an_unknown_run_closes_the_worker_until_it_is_gone(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            key = RunKey(TaskKey('f' * 16 + '.0.0.0'), RunNumber(1))
+            shard.worker.active[key] = ActiveRun(key, '', 0)
+            await shard.look()
+            self.assertFalse(shard.books.open(time.monotonic()))
+            await asyncio.sleep(_SOON)
+            self.assertEqual([key], shard.worker.stops)
+            shard.worker.end(key, RunEnding.STOPPED)
+            await shard.look()
+            self.assertTrue(shard.books.open(time.monotonic()))
+
+        self.play(scene)
+
+    def test_a_run_of_an_earlier_owner_is_adopted(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            job = make_job(StepSpec(1, size=Size(500)))
+            step = shard.add(job)
+            task = step.tasks[0]
+            job.place(task, RunNumber(1), shard.books.worker)
+            shard.state.unresolved_by_worker[shard.books.worker] = [task]
+            key = RunKey(task.key, RunNumber(1))
+            shard.worker.active[key] = ActiveRun(key, '', 50)
+            await shard.look()
+            self.assertEqual(63_500, shard.books.free.millicores)
+            self.assertIs(TaskPhase.PLACED, task.phase)
+
+        self.play(scene)
+
+    def test_a_run_that_never_came_is_started_again(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            job = make_job(StepSpec(1))
+            step = shard.add(job)
+            task = step.tasks[0]
+            job.place(task, RunNumber(1), shard.books.worker)
+            shard.state.unresolved_by_worker[shard.books.worker] = [task]
+            await shard.look()
+            self.assertEqual([task], step.startable())
+            self.assertEqual(2, step.next_run([task]))
+
+        self.play(scene)
+
+    def test_a_gang_that_lost_a_member_is_stopped(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            step = shard.add(make_job(StepSpec(2, gang=True)))
+            shard.launch(step)
+            await asyncio.sleep(_SOON)
+            first, second = (order.key for order in shard.worker.starts)
+            shard.worker.end(first, RunEnding.LAPSED)
+            await shard.look()
+            await asyncio.sleep(_SOON)
+            self.assertEqual([second], shard.worker.stops)
+
+        self.play(scene)
--- /dev/null
+++ b/orchidrail/work/tests/test_job.py
@@ -0,0 +1,138 @@
+"""Tests of the job aggregate."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from orchidrail.types import JobId, QueueName, ServiceName, WorkerId
+from orchidrail.work.job import Job, StepState
+from orchidrail.work.model import JobSpec, QueueSettings, Size, StepSpec
+from orchidrail.work.records import JobPhase, JobRecord, Progress, TaskPhase
+from orchidrail.workers.port import RunEnding
+
+_WORKER = WorkerId('w-1')
+
+
+def make_job(*steps: StepSpec, attempts: int = 2, repeats: int = 0) -> Job:
+    """Return an accepted job with these steps."""
+    queue = QueueSettings(
+        QueueName('queue'),
+        'host',
+        '/q/',
+        ServiceName('service'),
+        max_attempts=attempts,
+    )
+    spec = JobSpec('text', steps, repeats, first_at=100, interval=10)
+    return Job(JobId('0123456789abcdef'), JobRecord(queue, spec, 0))
+
+
+def place_all(step: StepState) -> None:
+    """Place all waiting tasks of a step under one run."""
+    run = step.next_run(step.tasks)
+    for task in step.startable():
+        step.job.place(task, run, _WORKER)
+
+
+class JobTest(TestCase):
+    def test_a_step_waits_for_those_before_it(self) -> None:
+        job = make_job(StepSpec(2), StepSpec(1, after=(0,)))
+        first = next(job.open_steps(0))
+        self.assertEqual(0, first.number)
+        place_all(first)
+        job.end_run(first.tasks[0], first.tasks[0].run, RunEnding.DONE, '')
+        self.assertEqual([0], [step.number for step in job.open_steps(0)])
+        job.end_run(first.tasks[1], first.tasks[1].run, RunEnding.DONE, '')
+        self.assertEqual([1], [step.number for step in job.open_steps(0)])
+
+    def test_it_is_completed_when_all_tasks_are(self) -> None:
+        job = make_job(StepSpec(1))
+        step = next(job.open_steps(0))
+        place_all(step)
+        self.assertEqual(JobPhase.RUNNING, job.phase)
+        job.end_run(step.tasks[0], step.tasks[0].run, RunEnding.DONE, '')
+        self.assertEqual(JobPhase.COMPLETED, job.phase)
+
+    def test_only_failures_count_as_attempts(self) -> None:
+        job = make_job(StepSpec(1), attempts=2)
+        step = next(job.open_steps(0))
+        task = step.tasks[0]
+        for ending in (
+            RunEnding.LAPSED,
+            RunEnding.STOPPED,
+            RunEnding.FAILED,
+            RunEnding.BROKEN,
+        ):
+            place_all(step)
+            job.end_run(task, task.run, ending, '')
+            self.assertEqual(JobPhase.RUNNING, job.phase)
+        place_all(step)
+        job.end_run(task, task.run, RunEnding.FAILED, '')
+        self.assertEqual(JobPhase.FAILED, job.phase)
+
+    def test_an_end_that_is_listed_twice_counts_once(self) -> None:
+        job = make_job(StepSpec(1), attempts=2)
+        step = next(job.open_steps(0))
+        place_all(step)
+        task = step.tasks[0]
+        job.end_run(task, task.run, RunEnding.FAILED, '')
+        job.end_run(task, task.run, RunEnding.FAILED, '')
+        self.assertEqual(1, task.failures)
+
+    def test_the_end_of_an_older_run_changes_nothing(self) -> None:
+        job = make_job(StepSpec(1))
+        step = next(job.open_steps(0))
+        place_all(step)
+        task = step.tasks[0]
+        old = task.run
+        job.end_run(task, old, RunEnding.LAPSED, '')
+        place_all(step)
+        job.end_run(task, old, RunEnding.DONE, '')
+        self.assertIs(TaskPhase.PLACED, task.phase)
+
+    def test_a_gang_starts_whole_and_ends_with_one(self) -> None:
+        job = make_job(StepSpec(3, gang=True))
+        step = next(job.open_steps(0))
+        self.assertEqual(3, len(step.startable()))
+        place_all(step)
+        self.assertEqual(1, len({task.run for task in step.tasks}))
+        job.end_run(step.tasks[0], step.tasks[0].run, RunEnding.BROKEN, 'c')
+        self.assertEqual([], step.startable())
+        job.end_run(step.tasks[1], step.tasks[1].run, RunEnding.DONE, '')
+        self.assertEqual(JobPhase.COMPLETED, job.phase)
+
+    def test_a_gangs_failure_counts_once_a_run(self) -> None:
+        job = make_job(StepSpec(2, gang=True), attempts=2)
+        step = next(job.open_steps(0))
+        place_all(step)
+        for task in step.tasks:
+            job.end_run(task, task.run, RunEnding.FAILED, '')
+        self.assertEqual({1}, {task.failures for task in step.tasks})
+        self.assertEqual(JobPhase.RUNNING, job.phase)
+
+    def test_a_lasting_task_starts_again_for_ever(self) -> None:
+        job = make_job(StepSpec(1, lasting=True), attempts=1)
+        step = next(job.open_steps(0))
+        task = step.tasks[0]
+        for _ in range(3):
+            place_all(step)
+            job.end_run(task, task.run, RunEnding.FAILED, '')
+        self.assertEqual([task], step.startable())
+
+    def test_rounds_fall_due_at_their_times(self) -> None:
+        job = make_job(StepSpec(1), repeats=3)
+        self.assertEqual([], list(job.open_steps(99)))
+        rounds = [step.round_number for step in job.open_steps(111)]
+        self.assertEqual([0, 1], rounds)
+        self.assertEqual(120, job.next_due(111))
+
+    def test_progress_survives_the_journal(self) -> None:
+        steps = StepSpec(3, size=Size(5)), StepSpec(1, after=(0,))
+        job = make_job(*steps)
+        first = next(job.open_steps(0))
+        place_all(first)
+        job.end_run(first.tasks[1], first.tasks[1].run, RunEnding.DONE, '')
+        job.end_run(first.tasks[2], first.tasks[2].run, RunEnding.FAILED, 'c')
+        restored = make_job(*steps)
+        restored.restore(Progress(job.rows()))
+        self.assertEqual(job.rows(), restored.rows())
+        self.assertEqual(JobPhase.RUNNING, restored.phase)
--- /dev/null
+++ b/orchidrail/workers/tests/fakes.py
@@ -0,0 +1,96 @@
+"""A worker in this process's memory, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from orchidrail.types import Address, Epoch, Seconds, ServiceName, WorkerId
+from orchidrail.work.model import Size
+from orchidrail.workers.port import (
+    ActiveRun,
+    EndedRun,
+    HoldOrder,
+    Listing,
+    OrderAnswer,
+    OrderResult,
+    RunEnding,
+    RunKey,
+    StartOrder,
+    WorkerEntry,
+)
+
+_LOOK_TAKES: Seconds = 0.01
+
+
+def make_entry(name: str = 'w-1', cores: int = 64) -> WorkerEntry:
+    """Return the entry of a worker with some room."""
+    return WorkerEntry(
+        worker=WorkerId(name),
+        service=ServiceName('service'),
+        address=Address(f'{name}:1'),
+        zone='zone',
+        capacity=Size(cores * 1000, 100_000),
+        labels=('kind', 'rack-1'),
+    )
+
+
+class FakeWorker:
+    """Fits `WorkerCalls` for a single worker; its clock is set by hand."""
+
+    def __init__(self) -> None:
+        """Start idle at clock 100."""
+        self.clock: Seconds = 100
+        self.epoch = Epoch(0)
+        self.active: dict[RunKey, ActiveRun] = {}
+        self.ended: list[EndedRun] = []
+        self.holds: list[HoldOrder] = []
+        self.starts: list[StartOrder] = []
+        self.stops: list[RunKey] = []
+        self.start_result = OrderResult.TAKEN
+        #: If set, looks are answered with it.
+        self.hold_result: OrderResult | None = None
+
+    def end(self, key: RunKey, ending: RunEnding, saved: str = '') -> None:
+        """End a run and list its end."""
+        self.active.pop(key, None)
+        number = len(self.ended) + 1
+        self.ended.append(EndedRun(number, key, ending, saved))
+
+    async def start(
+        self,
+        entry: WorkerEntry,
+        order: StartOrder,
+        timeout: Seconds,
+    ) -> OrderAnswer:
+        """See `WorkerCalls.start`."""
+        self.starts.append(order)
+        if self.start_result is OrderResult.TAKEN:
+            self.active[order.key] = ActiveRun(order.key, '', 0)
+        return OrderAnswer(self.start_result, self.clock)
+
+    async def stop(
+        self,
+        entry: WorkerEntry,
+        key: RunKey,
+        epoch: Epoch,
+        timeout: Seconds,
+    ) -> OrderAnswer:
+        """See `WorkerCalls.stop`; the end is listed by the test."""
+        self.stops.append(key)
+        self.active.pop(key, None)
+        return OrderAnswer(OrderResult.TAKEN, self.clock)
+
+    async def hold(
+        self,
+        entry: WorkerEntry,
+        order: HoldOrder,
+        timeout: Seconds,
+    ) -> Listing | OrderAnswer:
+        """See `WorkerCalls.hold`."""
+        self.holds.append(order)
+        await asyncio.sleep(_LOOK_TAKES)
+        if self.hold_result is not None:
+            return OrderAnswer(self.hold_result)
+        self.epoch = max(self.epoch, order.epoch)
+        kept = [end for end in self.ended if end.number > order.last_seen]
+        return Listing(self.clock, list(self.active.values()), kept)
--- /dev/null
+++ b/orchidrail/workers/tests/test_lease.py
@@ -0,0 +1,46 @@
+"""Tests of the lease's arithmetic."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from orchidrail.workers.lease import SLOWEST_CLOCK, RunLease
+
+_LONGEST = 6
+_times = st.floats(min_value=0, max_value=1000)
+
+
+class LeaseTest(TestCase):
+    def test_an_unmet_worker_is_doubted_until_a_time(self) -> None:
+        lease = RunLease(_LONGEST, doubt_until=20)
+        self.assertFalse(lease.ended(20))
+        self.assertTrue(lease.ended(20.1))
+
+    def test_an_answer_that_was_overtaken_changes_nothing(self) -> None:
+        lease = RunLease(_LONGEST, doubt_until=0)
+        lease.observe(clock=110, at=60)
+        lease.observe(clock=101, at=61)
+        self.assertEqual(111, lease.clock_at(61))
+
+    @given(
+        rate=st.floats(min_value=1 - SLOWEST_CLOCK, max_value=1),
+        delay=st.floats(min_value=0, max_value=2),
+        renewed=_times,
+        passed=_times,
+    )
+    def test_a_lease_that_counts_as_ended_has_ended(
+        self,
+        rate: float,
+        delay: float,
+        renewed: float,
+        passed: float,
+    ) -> None:
+        """The worker's clock starts at 0 with ours and runs at `rate`."""
+        lease = RunLease(_LONGEST, doubt_until=0)
+        lease.observe(clock=0, at=delay)
+        end = lease.renew(delay + renewed)
+        now = delay + renewed + passed
+        if lease.ended(now):
+            self.assertGreaterEqual(now * rate + 1e-6, end)
--- /dev/null
+++ b/orchidrail/workers/tests/test_session.py
@@ -0,0 +1,102 @@
+"""Tests of one owner's dealings with one worker."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+
+from testtools import TestCase
+
+from orchidrail.types import Epoch, RunNumber, Seconds, TaskKey
+from orchidrail.workers.lease import RunLease
+from orchidrail.workers.port import Listing, OrderResult, RunEnding, RunKey
+from orchidrail.workers.session import WorkerSession
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+
+_KEY = RunKey(TaskKey('j.0.0.0'), RunNumber(1))
+
+
+class _Observer:
+    """Lets the test decide when the journal has what was listed."""
+
+    def __init__(self) -> None:
+        self.written: asyncio.Future[bool] | None = None
+        self.listings: list[Listing] = []
+        self.over = 0
+        self.fenced = 0
+
+    def on_listing(
+        self,
+        session: WorkerSession,
+        listing: Listing,
+        sent_at: Seconds,
+    ) -> list[Awaitable[bool]]:
+        self.listings.append(listing)
+        if self.written is None or not listing.ended:
+            return []
+        return [asyncio.shield(self.written)]
+
+    def on_life_over(self, session: WorkerSession) -> None:
+        self.over += 1
+
+    def on_fenced(self, session: WorkerSession) -> None:
+        self.fenced += 1
+
+
+class SessionTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = FakeWorker()
+        self.observer = _Observer()
+        self.may_renew = True
+        self.session = WorkerSession(
+            make_entry(),
+            self.worker,
+            Epoch(7),
+            RunLease(6, 0),
+            self.observer,
+            lambda: 50,
+            lambda: self.may_renew,
+        )
+
+    def test_an_end_is_acknowledged_only_when_written(self) -> None:
+        async def end() -> None:
+            loop = asyncio.get_running_loop()
+            self.observer.written = loop.create_future()
+            self.worker.end(_KEY, RunEnding.DONE)
+            looking = asyncio.create_task(self.session.run())
+            await asyncio.sleep(1.2)
+            seen = {order.last_seen for order in self.worker.holds}
+            self.assertEqual({0}, seen)
+            self.assertGreater(len(self.worker.holds), 1)
+            self.observer.written.set_result(True)
+            await asyncio.sleep(0.05)
+            self.assertEqual(1, self.worker.holds[-1].last_seen)
+            looking.cancel()
+
+        asyncio.run(end())
+
+    def test_the_lease_is_renewed_on_the_workers_clock(self) -> None:
+        async def look() -> None:
+            await self.session._look()
+            await self.session._look()
+            self.assertIsNone(self.worker.holds[0].deadline)
+            self.assertEqual(106, self.worker.holds[1].deadline)
+
+        asyncio.run(look())
+
+    def test_without_authority_nothing_is_renewed(self) -> None:
+        self.may_renew = False
+        asyncio.run(self.session._look())
+        self.assertEqual([], self.worker.holds)
+
+    def test_another_life_ends_the_session(self) -> None:
+        self.worker.hold_result = OrderResult.OTHER_LIFE
+        asyncio.run(self.session._look())
+        self.assertTrue(self.session.over)
+        self.assertEqual(1, self.observer.over)
+
+    def test_a_newer_owner_is_reported(self) -> None:
+        self.worker.hold_result = OrderResult.FENCED
+        asyncio.run(self.session._look())
+        self.assertEqual(1, self.observer.fenced)
