Give no new work to workers that fail, stand still or don't answer

Change: a retry goes to another worker; a worker on which two jobs in a row fail rests; one whose order is unanswered for 60 ms, or whose runs make no progress for 1.5 s, gets nothing new, and runs that stand still (not gangs) are started elsewhere.

--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -15,6 +15,9 @@
 
 #: How long a worker gets no new work after it refused or failed an order.
 _REST: Seconds = 1.5
+#: Time without progress after which a run stands still: resuming from a
+#: checkpoint takes up to 0.6 s, and a listing comes at least every 1.2 s.
+_STALLED_AFTER: Seconds = 1.5
 
 
 class PlacedRun(msgspec.Struct):
@@ -39,6 +42,26 @@
     start_deadline: Seconds = math.inf
     stopping: bool = False
     share_done: float = 0
+    #: When `share_done` changed last; 0 before the first listing shows it.
+    progress_at: Seconds = 0
+
+    def note_progress(self, share_done: float, now: Seconds) -> None:
+        """Take how much of the run is done."""
+        if share_done != self.share_done or not self.progress_at:
+            self.share_done = share_done
+            self.progress_at = now
+
+    def stalled(self, now: Seconds) -> bool:
+        """Whether the run should have moved on and has not.
+
+        Gangs wait for their last member, and lasting tasks stay at 100.
+        """
+        if self.task is None or self.stopping or not self.progress_at:
+            return False
+        spec = self.task.step.spec
+        if spec.lasting or (spec.gang and not self.share_done):
+            return False
+        return now - self.progress_at > _STALLED_AFTER
 
 
 class WorkerBooks:
@@ -58,6 +81,8 @@
         self.held_by_step: dict[str, Size] = {}
         self.count_by_step: Counter[str] = Counter()
         self.rests_until: Seconds = 0
+        #: Whether something that runs here makes no progress.
+        self.stalled = False
         self._unsized = 0
         #: Whether the store still lists this life.
         self.listed = True
@@ -75,13 +100,15 @@
             self.session.reachable
             and not self.session.over
             and not self._unsized
+            and not self.stalled
+            and not self.session.suspect()
             and self.entry.state is WorkerState.READY
             and now >= self.rests_until
         )
 
-    def rest(self, now: Seconds) -> None:
+    def rest(self, now: Seconds, seconds: Seconds = _REST) -> None:
         """Give the worker no new work for a while."""
-        self.rests_until = now + _REST
+        self.rests_until = max(self.rests_until, now + seconds)
 
     def charge(self, run: PlacedRun, step_key: str) -> None:
         """Take room for a run; one that is known already is left alone."""
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -104,6 +104,8 @@
                 and books.entry.service == step.job.queue.service
                 and suits(step.spec, books)
             ]
+            if step.failed_on:
+                usable = _spare(step, usable)
             kept = self._place_step(rank, step, tasks, usable, now)
             if kept and earmarks < _EARMARKS:
                 earmarks += 1
@@ -247,3 +249,11 @@
             for books in about:
                 books.unhold(step.key)
             self._state.wanted.set()
+
+
+def _spare(step: StepState, usable: list[WorkerBooks]) -> list[WorkerBooks]:
+    """Leave out the workers that failed the step, unless no other is good."""
+    others = [books for books in usable if books.worker not in step.failed_on]
+    known = step.permits.good_by_worker
+    good = [books for books in others if known.get(books.worker, True)]
+    return others if good else usable
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -11,6 +11,7 @@
 from orchidrail.journal.writer import Commit
 from orchidrail.shard.books import PlacedRun, WorkerBooks
 from orchidrail.shard.placing import Placement
+from orchidrail.shard.standing import Standings
 from orchidrail.shard.state import ShardState
 from orchidrail.types import RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Job, StepState, Task
@@ -78,6 +79,7 @@
     ) -> None:
         """Start without runs."""
         self._stop_takes = stop_takes
+        self._standings = Standings()
         self._state = state
         self._fenced = on_fenced
         self._may_start_unlogged = may_start_unlogged
@@ -133,6 +135,7 @@
         for ended in listing.ended:
             seen.add(ended.key)
             self._end(books, ended, touched)
+        self._look_for_stalled(books)
         for run in list(books.run_by_key.values()):
             if run.key not in seen and _surely_gone(run, listing, sent_at):
                 self._lose(books, run, touched)
@@ -268,13 +271,33 @@
                 return
             await asyncio.sleep(_STOP_AGAIN)
 
+    def _look_for_stalled(self, books: WorkerBooks) -> None:
+        """Close a worker on which runs stand still, and run them elsewhere.
+
+        Gangs are left to it: a new start would cost all of their members.
+        """
+        now = self._state.clock()
+        stalled = [run for run in books.run_by_key.values() if run.stalled(now)]
+        if bool(stalled) != books.stalled:
+            _log.info(
+                'worker stands still' if stalled else 'worker moves on',
+                worker=books.worker,
+                tasks=[run.key.task for run in stalled],
+            )
+        books.stalled = bool(stalled)
+        for run in stalled:
+            if run.task is not None and not run.task.step.spec.gang:
+                run.task.step.failed_on.add(books.worker)
+                self.stop(books, run)
+
     def _see_active(self, books: WorkerBooks, active: ActiveRun) -> None:
         run = books.run_by_key.get(active.key)
         if run is None:
             run = self._adopt(books, active)
-        run.share_done = active.share_done
+        now = self._state.clock()
+        run.note_progress(active.share_done, now)
         if run.confirmed_at == math.inf:
-            run.confirmed_at = self._state.clock()
+            run.confirmed_at = now
         task = run.task
         if task is not None and active.checkpoint:
             task.checkpoint = active.checkpoint
@@ -320,6 +343,7 @@
         if before == (task.phase, task.run, task.failures):
             return
         touched[job.job_id] = job
+        self._judge(books, task, ended.ending)
         if ended.ending is not RunEnding.DONE:
             _log.info(
                 'run ended',
@@ -332,6 +356,29 @@
         if ended.ending in (RunEnding.LAPSED, RunEnding.ALONE):
             self._break_gang(task)
 
+    def _judge(
+        self,
+        books: WorkerBooks,
+        task: Task,
+        ending: RunEnding,
+    ) -> None:
+        """Draw conclusions about the worker from how a run ended."""
+        if ending is RunEnding.DONE:
+            self._standings.note_success(books.worker)
+        if ending is not RunEnding.FAILED:
+            return
+        task.step.failed_on.add(books.worker)
+        now = self._state.clock()
+        rest = self._standings.note_failure(
+            books.worker,
+            task.step.job.job_id,
+            now,
+            len(self._state.books_by_worker),
+        )
+        if rest:
+            books.rest(now, rest)
+            _log.info('worker rests', worker=books.worker, seconds=rest)
+
     def _lose(
         self,
         books: WorkerBooks | None,
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -15,7 +15,14 @@
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.testing import AsyncTestCase
-from orchidrail.types import Address, Epoch, InstanceId, RunNumber, TaskKey
+from orchidrail.types import (
+    Address,
+    Epoch,
+    InstanceId,
+    JobId,
+    RunNumber,
+    TaskKey,
+)
 from orchidrail.work.job import Job, StepState
 from orchidrail.work.model import MemberInfo, Size, StepSpec
 from orchidrail.work.records import JobPhase, TaskPhase
@@ -197,6 +204,45 @@
 
         self.play(scene)
 
+    def test_a_run_that_was_just_placed_does_not_stand_still(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            shard.worker.start_result = OrderResult.UNKNOWN
+            shard.launch(shard.add(make_job(StepSpec(1))))
+            await shard.look()
+            self.assertFalse(shard.books.stalled)
+
+        self.play(scene)
+
+    def test_a_run_that_stands_still_is_run_elsewhere(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            step = shard.add(make_job(StepSpec(1)))
+            shard.launch(step)
+            await asyncio.sleep(_SOON)
+            await shard.look()
+            run = next(iter(shard.books.run_by_key.values()))
+            run.progress_at -= 2
+            await shard.look()
+            self.assertTrue(shard.books.stalled)
+            await asyncio.sleep(_SOON)
+            self.assertEqual([run.key], shard.worker.stops)
+            self.assertEqual({shard.books.worker}, step.failed_on)
+
+        self.play(scene)
+
+    def test_a_worker_that_fails_two_jobs_rests(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            for number in range(2):
+                job = make_job(StepSpec(1))
+                job.job_id = JobId(f'{number:016x}')
+                shard.launch(shard.add(job))
+                await asyncio.sleep(_SOON)
+                self.assertTrue(shard.books.open(time.monotonic()))
+                shard.worker.end(shard.worker.starts[-1].key, RunEnding.FAILED)
+                await shard.look()
+            self.assertFalse(shard.books.open(time.monotonic()))
+
+        self.play(scene)
+
     def test_a_gang_that_lost_a_member_is_stopped(self) -> None:
         async def scene(shard: _Shard) -> None:
             step = shard.add(make_job(StepSpec(2, gang=True)))
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -89,6 +89,8 @@
         #: Latest gang run whose failure was counted; members share it.
         self.failed_run = RunNumber(0)
         self.permits = Permits()
+        #: Workers on which its tasks failed; others are tried first.
+        self.failed_on: set[WorkerId] = set()
 
     @property
     def done(self) -> bool:
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -39,6 +39,9 @@
 START_LIFE: Seconds = 1.0
 _START_TIMEOUT: Seconds = 0.7
 _STOP_TIMEOUT: Seconds = 0.7
+#: A worker that leaves an order unanswered for longer gets no other: answers
+#: take 1 to 4 ms on the sites.
+_SUSPECT_AFTER: Seconds = 0.06
 
 
 class Observer(Protocol):
@@ -105,6 +108,8 @@
         self._observer = observer
         self._clock = clock
         self._may_renew = may_renew
+        #: When each order without an answer yet was sent.
+        self._sent_at_by_key: dict[RunKey, Seconds] = {}
         self._last_seen = 0
         self._last_heard = 0
 
@@ -129,7 +134,11 @@
         deadline = self.lease.clock_at(self._clock()) + START_LIFE
         self.lease.promise(deadline)
         order = StartOrder(key, text, deadline, self.epoch, checkpoint, ticket)
-        answer = await self._calls.start(self.entry, order, _START_TIMEOUT)
+        self._sent_at_by_key[key] = self._clock()
+        try:
+            answer = await self._calls.start(self.entry, order, _START_TIMEOUT)
+        finally:
+            self._sent_at_by_key.pop(key, None)
         self._take_answer(answer)
         return answer, deadline
 
@@ -144,6 +153,11 @@
         self._take_answer(answer)
         return answer
 
+    def suspect(self) -> bool:
+        """Whether an order has been without an answer for too long."""
+        oldest = next(iter(self._sent_at_by_key.values()), None)
+        return oldest is not None and self._clock() - oldest > _SUSPECT_AFTER
+
     def end_life(self) -> None:
         """Note that this life is over."""
         if not self.over:
