Probe a silent worker instead of resting it; shorter life of a start

Change: an unanswered start is doubted by a look, which opens the worker again if it answers; the start's deadline is 0.4 s, its outcome is looked up then.

--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -45,12 +45,6 @@
     #: When `share_done` changed last; 0 before the first listing shows it.
     progress_at: Seconds = 0
 
-    def note_progress(self, share_done: float, now: Seconds) -> None:
-        """Take how much of the run is done."""
-        if share_done != self.share_done or not self.progress_at:
-            self.share_done = share_done
-            self.progress_at = now
-
     def stalled(self, now: Seconds) -> bool:
         """Whether the run should have moved on and has not.
 
@@ -64,6 +58,13 @@
         return now - self.progress_at > _STALLED_AFTER
 
 
+def note_progress(run: PlacedRun, share_done: float, now: Seconds) -> None:
+    """Take how much of a run is done."""
+    if share_done != run.share_done or not run.progress_at:
+        run.share_done = share_done
+        run.progress_at = now
+
+
 class WorkerBooks:
     """Room, runs and standing of one worker.
 
@@ -96,15 +97,13 @@
 
     def open(self, now: Seconds) -> bool:
         """Whether new work may go to the worker."""
-        return (
-            self.session.reachable
-            and not self.session.over
-            and not self._unsized
-            and not self.stalled
-            and not self.session.suspect()
-            and self.entry.state is WorkerState.READY
-            and now >= self.rests_until
-        )
+        session = self.session
+        answers = session.reachable and not session.over
+        if not answers or session.suspect():
+            return False
+        if self._unsized or self.stalled:
+            return False
+        return self.entry.state is WorkerState.READY and now >= self.rests_until
 
     def rest(self, now: Seconds, seconds: Seconds = _REST) -> None:
         """Give the worker no new work for a while."""
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -9,7 +9,7 @@
 import structlog
 
 from orchidrail.journal.writer import Commit
-from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.books import PlacedRun, WorkerBooks, note_progress
 from orchidrail.shard.placing import Placement
 from orchidrail.shard.standing import Standings
 from orchidrail.shard.state import ShardState
@@ -51,7 +51,6 @@
         OrderResult.UNWELL,
         OrderResult.NO_ROOM,
         OrderResult.NOT_SENT,
-        OrderResult.UNKNOWN,
     )
 )
 
@@ -142,6 +141,13 @@
         for task in self._state.unresolved_by_worker.pop(session.worker, ()):
             if RunKey(task.key, task.run) not in seen:
                 self._requeue(task, touched)
+        return self._settle_all(listing, touched)
+
+    def _settle_all(
+        self,
+        listing: Listing,
+        touched: dict[str, Job],
+    ) -> list[Awaitable[bool]]:
         if listing.ended or touched:
             self._state.wanted.set()
         for job in touched.values():
@@ -295,7 +301,7 @@
         if run is None:
             run = self._adopt(books, active)
         now = self._state.clock()
-        run.note_progress(active.share_done, now)
+        note_progress(run, active.share_done, now)
         if run.confirmed_at == math.inf:
             run.confirmed_at = now
         task = run.task
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -22,6 +22,7 @@
     JobId,
     RunNumber,
     TaskKey,
+    WorkerId,
 )
 from orchidrail.work.job import Job, StepState
 from orchidrail.work.model import MemberInfo, Size, StepSpec
@@ -231,6 +232,9 @@
 
     def test_a_worker_that_fails_two_jobs_rests(self) -> None:
         async def scene(shard: _Shard) -> None:
+            for number in range(2, 5):
+                name = WorkerId(f'w-{number}')
+                shard.state.books_by_worker[name] = shard.books
             for number in range(2):
                 job = make_job(StepSpec(1))
                 job.job_id = JobId(f'{number:016x}')
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -36,8 +36,10 @@
 _JOURNAL_WAIT: Seconds = 0.5
 #: Time in which a start must reach its worker, on the worker's clock; later
 #: the worker refuses it, so that a late copy harms nothing.
-START_LIFE: Seconds = 1.0
-_START_TIMEOUT: Seconds = 0.7
+START_LIFE: Seconds = 0.4
+_START_TIMEOUT: Seconds = 0.35
+#: Added where a time on the worker's clock is waited for.
+_CLOCK_SLACK: Seconds = 0.02
 _STOP_TIMEOUT: Seconds = 0.7
 #: A worker that leaves an order unanswered for longer gets no other: answers
 #: take 1 to 4 ms on the sites.
@@ -110,6 +112,8 @@
         self._may_renew = may_renew
         #: When each order without an answer yet was sent.
         self._sent_at_by_key: dict[RunKey, Seconds] = {}
+        self._looks: set[asyncio.Task[None]] = set()
+        self._heard_at: Seconds = 0
         self._last_seen = 0
         self._last_heard = 0
 
@@ -135,11 +139,18 @@
         self.lease.promise(deadline)
         order = StartOrder(key, text, deadline, self.epoch, checkpoint, ticket)
         self._sent_at_by_key[key] = self._clock()
+        loop = asyncio.get_running_loop()
+        doubting = loop.call_later(_SUSPECT_AFTER, self._look_soon)
         try:
             answer = await self._calls.start(self.entry, order, _START_TIMEOUT)
         finally:
+            doubting.cancel()
             self._sent_at_by_key.pop(key, None)
         self._take_answer(answer)
+        if answer.result is OrderResult.UNKNOWN:
+            # A look after the deadline tells whether the run is there.
+            left = deadline - self.lease.clock_at(self._clock())
+            loop.call_later(left + _CLOCK_SLACK, self._look_soon)
         return answer, deadline
 
     async def stop(self, key: RunKey) -> OrderAnswer:
@@ -154,9 +165,11 @@
         return answer
 
     def suspect(self) -> bool:
-        """Whether an order has been without an answer for too long."""
+        """Whether an order went unanswered and nothing was heard since."""
         oldest = next(iter(self._sent_at_by_key.values()), None)
-        return oldest is not None and self._clock() - oldest > _SUSPECT_AFTER
+        if oldest is None or self._clock() - oldest < _SUSPECT_AFTER:
+            return False
+        return self._heard_at < oldest + _SUSPECT_AFTER
 
     def end_life(self) -> None:
         """Note that this life is over."""
@@ -165,9 +178,17 @@
             self.reachable = False
             self._observer.on_life_over(self)
 
+    def _look_soon(self) -> None:
+        """Look beside the look that waits, to learn something at once."""
+        if not self.over and not self._looks:
+            looking = asyncio.create_task(self._look_once(0))
+            self._looks.add(looking)
+            looking.add_done_callback(self._looks.discard)
+
     def _take_answer(self, answer: OrderAnswer) -> None:
         if answer.clock is not None:
-            self.lease.observe(answer.clock, self._clock())
+            self._heard_at = self._clock()
+            self.lease.observe(answer.clock, self._heard_at)
         if answer.result is OrderResult.OTHER_LIFE:
             self.end_life()
         elif answer.result is OrderResult.FENCED:
@@ -178,7 +199,9 @@
             await asyncio.sleep(_FAILED_PAUSE)
             return
         behind = self._last_heard > self._last_seen
-        wait = 0 if behind or not self.reachable else _LOOK_WAIT
+        await self._look_once(0 if behind or not self.reachable else _LOOK_WAIT)
+
+    async def _look_once(self, wait: Seconds) -> None:
         sent_at = self._clock()
         deadline = self.lease.renew(sent_at) if self.lease.known else None
         order = HoldOrder(self.epoch, deadline, self._last_seen, wait)
@@ -194,7 +217,8 @@
 
     async def _take_listing(self, listing: Listing, sent_at: Seconds) -> None:
         first = not self.lease.known
-        self.lease.observe(listing.clock, self._clock())
+        self._heard_at = self._clock()
+        self.lease.observe(listing.clock, self._heard_at)
         if first:
             self.lease.adopt(self._clock())
         if not self.reachable:
