Refuse at once in a zone that is cut off; notice a silent owner sooner

Change: peers speak each 0.1 s; a gateway that hears no other zone for 0.5 s refuses at once and is not ready; no job is sent to an owner silent for 0.3 s; 0.6 s of silence start a take-over (0.9 before). A line of load a second.

--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -32,6 +32,9 @@
 #: A submission without any owner is refused after this long, so that the
 #: caller can go to another machine in time.
 _GIVE_UP_AFTER: Seconds = 1.2
+#: Silence of the owner after which no job is sent to it: without an answer
+#: its caller could not be told that it has not run. It speaks each 0.1 s.
+_DOUBTED_AFTER: Seconds = 0.3
 #: When a refused caller should come back.
 COME_BACK_AFTER: Seconds = 1
 
@@ -100,6 +103,8 @@
         began = self._clock()
         uncertain = False
         while not self._given_up(began, patience, uncertain):
+            if self._table.cut_off() and not uncertain:
+                break
             code = await self._try_submit(message, began + patience)
             if code is WorkCode.OK:
                 return DeskAnswer(code)
@@ -120,7 +125,8 @@
     async def query(self, job_id: JobId, patience: Seconds) -> DeskAnswer:
         """Return a job's state."""
         seen = stored_phase(job_id, self._view.value_by_key)
-        if seen in ENDED_PHASES:
+        known = seen is not None and self._table.cut_off()
+        if seen in ENDED_PHASES or known:
             assert seen is not None
             return DeskAnswer(WorkCode.OK, seen)
         return await self._ask_until(QueryWork(job_id=job_id), patience)
@@ -150,11 +156,19 @@
         limit = patience if uncertain else min(patience, _GIVE_UP_AFTER)
         return self._clock() - began > limit
 
+    def _owner_is_silent(self) -> bool:
+        """Whether a job sent to the owner now would be in doubt."""
+        if self._local_owner() is not None:
+            return False
+        return self._table.owner_silent_for() > _DOUBTED_AFTER
+
     async def _try_submit(
         self,
         message: SubmitWork,
         until: Seconds,
     ) -> WorkCode:
+        if self._owner_is_silent():
+            return WorkCode.NOT_OWNER
         left = max(_RETRY_PAUSE, until - self._clock())
         answer = await self._ask_owner(message, min(left, _ANSWER_WITHIN))
         if isinstance(answer, Ok):
--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -118,6 +118,7 @@
             not self.stopping
             and self.config.current is not None
             and self.ownership.owner_heard()
+            and not self.table.cut_off()
         )
 
     async def run(self, stack: AsyncExitStack) -> None:
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -11,7 +11,7 @@
 from orchidrail.journal import JournalView, TakeOverError
 from orchidrail.journal.writer import current_owner, take_over
 from orchidrail.peers.pinger import Pinger
-from orchidrail.peers.table import HEARD_FOR, OwnerClaim, PeerTable
+from orchidrail.peers.table import OwnerClaim, PeerTable
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
 from orchidrail.types import Epoch, Seconds
 from orchidrail.wire.messages import PeerState
@@ -23,9 +23,9 @@
 READ_EVERY: Seconds = 0.5
 #: Silence after which the owner counts as dead; a paused process is far
 #: longer silent, a busy one shorter.
-_SILENT_FOR: Seconds = 0.9
+_SILENT_FOR: Seconds = 0.6
 #: Failed calls in a row after which a reachable machine has no owner.
-_FAILED_CALLS = 2
+_FAILED_CALLS = 3
 #: Wait between the candidates, so that one of them is first.
 _TURN: Seconds = 0.15
 _MOST_TURNS = 6
@@ -85,8 +85,8 @@
         """Whether the shard has an owner that was heard from lately."""
         if self.owner is not None:
             return True
-        silent = self._clock() - self._table.owner_heard_at
-        return bool(self._table.claim.address) and silent < HEARD_FOR
+        silent = self._table.owner_silent_for()
+        return bool(self._table.claim.address) and silent < _SILENT_FOR
 
     async def run(self) -> None:
         """Follow, and own when it is this process's turn."""
@@ -120,8 +120,7 @@
             return self.wanted_epoch >= claim.epoch
         if not claim.address or claim.name == self._table.me.name:
             return self._view.end is not None
-        silent = self._clock() - self._table.owner_heard_at
-        if silent > _SILENT_FOR:
+        if self._table.owner_silent_for() > _SILENT_FOR:
             return True
         assert self.pinger is not None
         return self.pinger.owner_failures >= _FAILED_CALLS
--- a/orchidrail/peers/pinger.py
+++ b/orchidrail/peers/pinger.py
@@ -15,9 +15,9 @@
 from orchidrail.work.model import MemberInfo
 
 #: How often the owner is asked whether it is at work.
-OWNER_EVERY: Seconds = 0.2
+OWNER_EVERY: Seconds = 0.1
 #: How often some other peers are spoken to.
-_OTHERS_EVERY: Seconds = 0.4
+_OTHERS_EVERY: Seconds = 0.25
 _OTHERS_AT_ONCE = 3
 _TIMEOUT: Seconds = 0.6
 
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -14,6 +14,9 @@
 _log = structlog.get_logger()
 #: A peer counts as heard from for this long after its last word.
 HEARD_FOR: Seconds = 1.2
+#: Silence of all other zones after which this one counts as cut off. Several
+#: peers speak to this process within each 0.1 s.
+_CUT_AFTER: Seconds = 0.5
 #: A peer that stays silent for this long is forgotten.
 _FORGET_AFTER: Seconds = 25
 
@@ -110,15 +113,26 @@
                 _log.info('peer forgotten', peer=name)
         return [known.member for known in self._peer_by_name.values()]
 
-    def heard(self) -> list[MemberInfo]:
+    def heard(self, within: Seconds = HEARD_FOR) -> list[MemberInfo]:
         """Return the peers heard from lately."""
         now = self._clock()
         return [
             known.member
             for known in self._peer_by_name.values()
-            if now - known.heard_at < HEARD_FOR
+            if now - known.heard_at < within
         ]
 
+    def owner_silent_for(self) -> Seconds:
+        """Return for how long the owner has not been heard."""
+        return self._clock() - self.owner_heard_at
+
+    def cut_off(self) -> bool:
+        """Whether this zone seems to be cut off from all the others."""
+        zones = {known.member.zone for known in self._peer_by_name.values()}
+        heard = {member.zone for member in self.heard(_CUT_AFTER)}
+        elsewhere = {self.me.zone}
+        return bool(zones - elsewhere) and not heard - elsewhere
+
     def all_zones_heard(self) -> bool:
         """Whether a peer of each other zone was heard from lately."""
         zones = {known.member.zone for known in self._peer_by_name.values()}
--- a/orchidrail/shard/advice_desk.py
+++ b/orchidrail/shard/advice_desk.py
@@ -99,6 +99,14 @@
                 return advice
         return None
 
+    def load(self) -> dict[str, int]:
+        """Return how busy the lanes are."""
+        return {
+            'lanes': len(self._lanes),
+            'busy_lanes': len(self._busy),
+            'questions': len(self._waiting),
+        }
+
     def close(self) -> None:
         """Give up all calls in progress."""
         for task in self._tasks:
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -105,6 +105,7 @@
                     self.writer.run(),
                     self._fleet.run(),
                     self.placer.run(),
+                    self.placer.report(),
                     self._expire_jobs(),
                 )
             ]
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -30,6 +30,8 @@
 _EARMARKS = 2
 #: Pause after advice could not be had.
 _ADVICE_PAUSE: Seconds = 0.3
+_REPORT_EVERY: Seconds = 1.0
+_MILLIS = 1000
 
 
 class Placer:
@@ -111,6 +113,33 @@
                 earmarks += 1
                 earmarked.update(kept)
 
+    async def report(self) -> None:
+        """Log the shard's load now and then, for those who look back."""
+        while True:
+            await asyncio.sleep(_REPORT_EVERY)
+            state = self._state
+            now = state.clock()
+            every = list(state.books_by_worker.values())
+            steps = [
+                step
+                for waiting in self._steps_by_job.values()
+                for step in waiting
+                if step.startable()
+            ]
+            _log.info(
+                'shard load',
+                jobs=len(state.job_by_id),
+                waiting_tasks=sum(len(step.startable()) for step in steps),
+                waiting_steps=len(steps),
+                asking=sum(step.permits.asking for step in steps),
+                workers=len(every),
+                open_workers=sum(books.open(now) for books in every),
+                free_cores=sum(books.free.millicores for books in every)
+                // _MILLIS,
+                unconfirmed=round(state.writer.unconfirmed_for(), 3),
+                **self._desk.load(),
+            )
+
     def _refresh(self) -> None:
         wall = self._state.wall_clock()
         for job_id in self._state.changed_jobs:
