Renew no lease of a worker that is lost

Each look that failed carried a renewal, which may count all the same, so the lease had never surely ended. Change: a look at a lost worker carries no renewal. Test failed first.

--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -203,7 +203,9 @@
 
     async def _look_once(self, wait: Seconds) -> None:
         sent_at = self._clock()
-        deadline = self.lease.renew(sent_at) if self.lease.known else None
+        # A renewal without an answer may count all the same, so a worker that
+        # is lost gets none: else its lease would never surely end.
+        deadline = self.lease.renew(sent_at) if self.reachable else None
         order = HoldOrder(self.epoch, deadline, self._last_seen, wait)
         answer = await self._calls.hold(
             self.entry,
--- a/orchidrail/workers/tests/test_session.py
+++ b/orchidrail/workers/tests/test_session.py
@@ -49,13 +49,14 @@
         self.worker = FakeWorker()
         self.observer = _Observer()
         self.may_renew = True
+        self.now = 50.0
         self.session = WorkerSession(
             make_entry(),
             self.worker,
             Epoch(7),
             RunLease(6, 0),
             self.observer,
-            lambda: 50,
+            lambda: self.now,
             lambda: self.may_renew,
         )
 
@@ -85,6 +86,21 @@
 
         asyncio.run(look())
 
+    def test_the_lease_of_a_lost_worker_comes_to_its_end(self) -> None:
+        async def lose() -> None:
+            await self.session._look()
+            await self.session._look()
+            self.worker.hold_result = OrderResult.UNKNOWN
+            self.now = 55
+            await self.session._look()
+            self.now = 60
+            await self.session._look()
+            self.assertFalse(self.session.lease.ended(61))
+            self.assertTrue(self.session.lease.ended(62))
+            self.assertIsNone(self.worker.holds[-1].deadline)
+
+        asyncio.run(lose())
+
     def test_without_authority_nothing_is_renewed(self) -> None:
         self.may_renew = False
         asyncio.run(self.session._look())
