Give up an unanswered look after 0.25 s, and look again before a worker is lost

Change: looks wait 0.8 s (1.2), are given up 0.25 s later (0.7), and a worker is lost after two failed looks, the second without waiting.

--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -27,9 +27,12 @@
 
 _log = structlog.get_logger()
 #: How long a worker may hold a look open; the lease is renewed with each.
-_LOOK_WAIT: Seconds = 1.2
-#: Time beyond the wait after which a look counts as unanswered.
-_LOOK_SLACK: Seconds = 0.7
+_LOOK_WAIT: Seconds = 0.8
+#: Time beyond the wait after which a look counts as unanswered; an answer
+#: takes 1 to 4 ms, and until the next look no end is heard of.
+_LOOK_SLACK: Seconds = 0.25
+#: Looks in a row that must fail before a worker counts as lost.
+_LOOKS_FAILED = 2
 #: Pause after a look that failed.
 _FAILED_PAUSE: Seconds = 0.2
 #: Longest wait for the journal before the lease is renewed again.
@@ -114,6 +117,7 @@
         self._sent_at_by_key: dict[RunKey, Seconds] = {}
         self._looks: set[asyncio.Task[None]] = set()
         self._heard_at: Seconds = 0
+        self._failures = 0
         self._last_seen = 0
         self._last_heard = 0
 
@@ -199,7 +203,8 @@
             await asyncio.sleep(_FAILED_PAUSE)
             return
         behind = self._last_heard > self._last_seen
-        await self._look_once(0 if behind or not self.reachable else _LOOK_WAIT)
+        doubted = behind or self._failures or not self.reachable
+        await self._look_once(0 if doubted else _LOOK_WAIT)
 
     async def _look_once(self, wait: Seconds) -> None:
         sent_at = self._clock()
@@ -226,6 +231,7 @@
         if not self.reachable:
             _log.info('worker reached', worker=self.worker)
         self.reachable = True
+        self._failures = 0
         self.fence_raised = True
         self.lost_at = None
         writes = self._observer.on_listing(self, listing, sent_at)
@@ -238,6 +244,9 @@
 
     async def _take_failure(self, answer: OrderAnswer) -> None:
         self._take_answer(answer)
+        self._failures += 1
+        if self._failures < _LOOKS_FAILED and not self.over:
+            return
         if self.reachable:
             _log.info(
                 'worker lost',
--- a/orchidrail/workers/tests/test_session.py
+++ b/orchidrail/workers/tests/test_session.py
@@ -93,6 +93,9 @@
             self.worker.hold_result = OrderResult.UNKNOWN
             self.now = 55
             await self.session._look()
+            self.assertTrue(self.session.reachable)
+            await self.session._look()
+            self.assertFalse(self.session.reachable)
             self.now = 60
             await self.session._look()
             self.assertFalse(self.session.lease.ended(61))
