--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from orchidrail.journal import JournalView
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.table import PeerTable
 from orchidrail.shard.owner import ShardOwner, stored_phase
 from orchidrail.types import CallFailure, JobId, Seconds, WorkCode
@@ -75,8 +76,10 @@
         handle_here: Callable[[Message], Awaitable[Message]],
         local_owner: Callable[[], ShardOwner | None],
         clock: Callable[[], Seconds],
+        metrics: InstanceMetrics,
     ) -> None:
         """Hold the ways to the owner."""
+        self._metrics = metrics
         self._table = table
         self._transport = transport
         self._view = view
@@ -95,6 +98,20 @@
 
         The answer is `NOT_TAKEN` only if no try can have had an effect.
         """
+        began = self._clock()
+        answer = await self._submit(job_id, queue, spec, patience)
+        label = self._metrics.queue(queue.name)
+        self._metrics.submissions.labels(label, answer.code.value).inc()
+        self._metrics.accepting.labels(label).observe(self._clock() - began)
+        return answer
+
+    async def _submit(
+        self,
+        job_id: JobId,
+        queue: QueueSettings,
+        spec: JobSpec,
+        patience: Seconds,
+    ) -> DeskAnswer:
         message = SubmitWork(
             job_id=job_id,
             queue=encode(queue),
--- a/orchidrail/instance/config_follower.py
+++ b/orchidrail/instance/config_follower.py
@@ -9,6 +9,7 @@
 from result import Ok, Result
 
 from orchidrail.journal import JournalView
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.types import Seconds
 from orchidrail.work.model import CellConfig
 
@@ -29,6 +30,7 @@
         Key of the configuration among them.
     decode : callable
         Decodes a configuration.
+    metrics : InstanceMetrics
     """
 
     def __init__(
@@ -36,8 +38,10 @@
         view: JournalView,
         key: str,
         decode: Callable[[bytes], Result[CellConfig, str]],
+        metrics: InstanceMetrics,
     ) -> None:
         """Start without a configuration."""
+        self._metrics = metrics
         self.current: CellConfig | None = None
         self._view = view
         self._key = key
@@ -70,6 +74,7 @@
         if self.current is not None and config.version <= self.current.version:
             return
         self.current = config
+        self._metrics.config_version.set(config.version)
         _log.info(
             'configuration in force',
             version=config.version,
--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -17,6 +17,7 @@
 from orchidrail.instance.peer_service import PeerService
 from orchidrail.instance.settings import InstanceSettings
 from orchidrail.journal import JournalView
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.members import MemberList
 from orchidrail.peers.pinger import Pinger
 from orchidrail.peers.table import PeerTable
@@ -64,6 +65,7 @@
     def __init__(self, settings: InstanceSettings) -> None:
         """Join the parts; `run` starts them."""
         self.settings = settings
+        self.metrics = InstanceMetrics()
         self._caller = HttpCaller()
         self._transport = TcpTransport(settings.name, _NO_KEY)
         self.me = MemberInfo(
@@ -74,7 +76,12 @@
         )
         self.table = PeerTable(self.me, time.monotonic)
         self._store = PlatformLog(
-            RelayedCaller(self._call_store, self._relay, time.monotonic)
+            RelayedCaller(
+                self._call_store,
+                self._relay,
+                time.monotonic,
+                self._note_store_call,
+            )
         )
         self._journal = JournalView(self._store, Topic(JOURNAL_NAME))
         self.ownership = Ownership(self.table, self._journal, time.monotonic)
@@ -97,6 +104,7 @@
             JournalView(self._store, OPERATOR_TOPIC),
             documents.CONFIG_KEY,
             documents.decode_config,
+            self.metrics,
         )
         self._members = MemberList(
             JournalView(self._store, MEMBER_TOPIC),
@@ -109,6 +117,7 @@
             self._service.handle,
             lambda: self.ownership.owner,
             time.monotonic,
+            self.metrics,
         )
         self.stopping = False
 
@@ -171,8 +180,12 @@
             self.settings.bounds.longest_lease,
             self.settings.bounds.stop_takes,
             self.settings.bounds.status_kept,
+            self.metrics,
         )
 
+    def _note_store_call(self, way: str, status: int) -> None:
+        self.metrics.store_calls.labels(way, status).inc()
+
     async def _call_store(self, call: RawCall) -> RawAnswer:
         return await self._caller.call(self.settings.store, call)
 
--- a/orchidrail/instance/main.py
+++ b/orchidrail/instance/main.py
@@ -15,6 +15,7 @@
 from blacksheep import Application
 
 from orchidrail.instance.daemon import InstanceDaemon
+from orchidrail.instance.metrics_api import metrics_app
 from orchidrail.instance.settings import InstanceSettings
 from orchidrail.logs import configure_logs
 from orchidrail.platform.callers import CallerApi, ReadinessApi
@@ -75,6 +76,7 @@
         servers = (
             _serve(callers.app, settings.callers),
             _serve(ReadinessApi(daemon.ready).app, settings.readiness),
+            _serve(metrics_app(daemon.metrics), settings.metrics),
         )
         await daemon.run(stack)
         _log.info('started', incarnation=daemon.me.incarnation)
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -135,6 +135,7 @@
             if epoch and not self._owner_is_gone():
                 return
         assert self.ports is not None
+        began = self._clock()
         try:
             writer = await take_over(
                 self._view,
@@ -146,6 +147,7 @@
             _log.info('no take-over', reason=str(error), epoch=epoch)
             await self._read()
             return
+        self.ports.metrics.taking_over.observe(self._clock() - began)
         await self._own(ShardOwner(writer, self.ports))
 
     async def _own(self, owner: ShardOwner) -> None:
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -171,3 +171,99 @@
             ('zone',),
             registry=self.registry,
         )
+
+
+class InstanceMetrics:
+    """What a process on the platform counts, by queue and outcome."""
+
+    def __init__(self) -> None:
+        """Register the metrics in a registry of their own."""
+        self.registry = CollectorRegistry()
+        self._cap = LabelCap(_MAX_TENANTS)
+        self.submissions = self._count(
+            'submissions',
+            'Submissions answered to callers, by queue and outcome.',
+            'queue',
+            'outcome',
+        )
+        self.orders = self._count(
+            'worker_orders',
+            'Starts ordered from workers, by result.',
+            'result',
+        )
+        self.endings = self._count(
+            'runs_ended',
+            'Runs that ended, by queue and how.',
+            'queue',
+            'ending',
+        )
+        self.store_calls = self._count(
+            'store_calls',
+            'Calls to the store, by way (direct or relay) and status.',
+            'way',
+            'status',
+        )
+        self.accepting = self._time(
+            'accepting_seconds',
+            'From a submission to its answer, by queue.',
+            'queue',
+        )
+        self.waiting = self._time(
+            'first_start_seconds',
+            'From acceptance to the first placement, by queue.',
+            'queue',
+        )
+        self.finishing = self._time(
+            'job_seconds',
+            'From acceptance to the end, by queue and final state.',
+            'queue',
+            'phase',
+        )
+        self.taking_over = self._time(
+            'take_over_seconds',
+            'From the decision to take the shard over to owning it.',
+        )
+        self.epoch = self._gauge(
+            'owner_epoch', 'Epoch of the shard owned here.'
+        )
+        self.unconfirmed = self._gauge(
+            'journal_unconfirmed_seconds',
+            'Age of the last proof that this process owns the shard.',
+        )
+        self.config_version = self._gauge(
+            'config_version',
+            'Version of the configuration in force.',
+        )
+        self.workers = self._gauge(
+            'workers',
+            'Workers of the shard owned here, by standing.',
+            'standing',
+        )
+        self.waiting_tasks = self._gauge(
+            'waiting_tasks',
+            'Tasks of the shard owned here that could start now.',
+        )
+
+    def queue(self, name: str) -> str:
+        """Return the label for a queue."""
+        return self._cap.label(name)
+
+    def _count(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(
+            f'orchidrail_{name}',
+            text,
+            labels,
+            registry=self.registry,
+        )
+
+    def _time(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(
+            f'orchidrail_{name}',
+            text,
+            labels,
+            buckets=_WAIT_BUCKETS,
+            registry=self.registry,
+        )
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f'orchidrail_{name}', text, labels, registry=self.registry)
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -27,6 +27,8 @@
 #: Key of the configuration among the operator's records.
 CONFIG_KEY = 'config'
 _MILLIS = 1000
+#: The port named for metrics in `deploy/system.toml`.
+METRICS_PORT = 9464
 _MAX_TEXT_BYTES = 4000
 #: Field of `Bounds` and divisor, by the name of a line.
 _BOUND_BY_KEY = {
@@ -215,7 +217,7 @@
         callers=Address(value_by_key['bindAddresses.frontend']),
         readiness=Address(value_by_key['bindAddresses.ready']),
         peers=Address(f'{host}:{first_port}'),
-        metrics=Address(f'{host}:{first_port + 1}'),
+        metrics=Address(f'{host}:{METRICS_PORT}'),
         store=Address(value_by_key['platform.address']),
         advice=Address(value_by_key.get('advice', '')),
         bounds=_bounds(value_by_key),
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -11,6 +11,7 @@
 import structlog
 
 from orchidrail.journal import JournalView, JournalWriter
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk, AskThrough
 from orchidrail.shard.authority import RENEW_FOR, UNLOGGED_AFTER, doubt_until
 from orchidrail.shard.fleet import DecodeEntry, Fleet
@@ -52,6 +53,7 @@
     longest_lease: Seconds
     stop_takes: Seconds
     status_kept: Seconds
+    metrics: InstanceMetrics
 
 
 class ShardOwner:
@@ -69,7 +71,12 @@
         self.writer = writer
         self._ports = ports
         now = ports.clock()
-        self.state = ShardState(writer, ports.clock, ports.wall_clock)
+        self.state = ShardState(
+            writer,
+            ports.clock,
+            ports.wall_clock,
+            ports.metrics,
+        )
         self.runs = RunTracker(
             self.state,
             self.resign,
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -126,6 +126,9 @@
                 for step in waiting
                 if step.startable()
             ]
+            self._gauge(
+                every, now, sum(len(step.startable()) for step in steps)
+            )
             _log.info(
                 'shard load',
                 jobs=len(state.job_by_id),
@@ -140,6 +143,19 @@
                 **self._desk.load(),
             )
 
+    def _gauge(
+        self,
+        every: list[WorkerBooks],
+        now: Seconds,
+        waiting_tasks: int,
+    ) -> None:
+        metrics = self._state.metrics
+        open_count = sum(books.open(now) for books in every)
+        metrics.workers.labels('open').set(open_count)
+        metrics.workers.labels('closed').set(len(every) - open_count)
+        metrics.waiting_tasks.set(waiting_tasks)
+        metrics.unconfirmed.set(self._state.writer.unconfirmed_for())
+
     def _refresh(self) -> None:
         wall = self._state.wall_clock()
         for job_id in self._state.changed_jobs:
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -91,6 +91,8 @@
 
     def launch(self, step: StepState, chosen: list[Placement]) -> None:
         """Place runs and order their starts once the journal has them."""
+        if not step.job.begun:
+            self._note_wait(step.job)
         run = step.next_run([placement.task for placement in chosen])
         keys = [self._place(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
@@ -105,6 +107,12 @@
             epoch=self._state.writer.owner.epoch,
         )
 
+    def _note_wait(self, job: Job) -> None:
+        waited = self._state.wall_clock() - job.record.accepted_at
+        metrics = self._state.metrics
+        label = metrics.queue(job.queue.name)
+        metrics.waiting.labels(label).observe(max(0, waited))
+
     def stop_job(self, job: Job) -> None:
         """Stop all that a job has placed anywhere."""
         for books in self._state.books_by_worker.values():
@@ -232,6 +240,7 @@
             ticket,
         )
         now = self._state.clock()
+        self._state.metrics.orders.labels(answer.result.value).inc()
         if answer.result in _REST_AFTER:
             books.rest(now)
         if answer.result is OrderResult.TAKEN:
@@ -349,6 +358,10 @@
         if before == (task.phase, task.run, task.failures):
             return
         touched[job.job_id] = job
+        self._state.metrics.endings.labels(
+            self._state.metrics.queue(job.queue.name),
+            ended.ending.value,
+        ).inc()
         self._judge(books, task, ended.ending)
         if ended.ending is not RunEnding.DONE:
             _log.info(
@@ -427,6 +440,7 @@
         if not job.ended:
             return commit
         _log.info('job over', job=job.job_id, phase=job.phase.name.lower())
+        self._state.note_over(job)
         self._state.job_by_id.pop(job.job_id, None)
         self.stop_job(job)
         return commit
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -8,6 +8,7 @@
 
 from orchidrail.journal import JournalWriter
 from orchidrail.journal.writer import Commit
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.types import JobId, Seconds, TaskKey, WorkerId
 from orchidrail.work.job import Job, Task
@@ -32,6 +33,7 @@
         Monotonic seconds.
     wall_clock : callable
         Seconds since 1970.
+    metrics : InstanceMetrics
     """
 
     def __init__(
@@ -39,8 +41,11 @@
         writer: JournalWriter,
         clock: Callable[[], Seconds],
         wall_clock: Callable[[], Seconds],
+        metrics: InstanceMetrics,
     ) -> None:
         """Start without jobs and workers."""
+        self.metrics = metrics
+        metrics.epoch.set(writer.owner.epoch)
         self.writer = writer
         self.clock = clock
         self.wall_clock = wall_clock
@@ -69,6 +74,14 @@
         self.changed_jobs.add(job.job_id)
         self.wanted.set()
 
+    def note_over(self, job: Job) -> None:
+        """Count a job that has ended."""
+        took = self.wall_clock() - job.record.accepted_at
+        self.metrics.finishing.labels(
+            self.metrics.queue(job.queue.name),
+            job.phase.name.lower(),
+        ).observe(max(0, took))
+
     def save(self, job: Job) -> Commit:
         """Put the job's progress, or its end, into the journal."""
         if not job.ended:
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -10,6 +10,7 @@
 
 from orchidrail.journal import JournalView
 from orchidrail.journal.writer import take_over
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
@@ -50,6 +51,7 @@
             longest_lease=6,
             stop_takes=0,
             status_kept=120,
+            metrics=InstanceMetrics(),
         )
         return ShardOwner(writer, ports)
 
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -8,6 +8,7 @@
 
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import take_over
+from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.placing import Placement
 from orchidrail.shard.runs import RunTracker
@@ -45,7 +46,9 @@
         self.unlogged = False
         self.fenced = 0
         self.worker = FakeWorker()
-        self.state = ShardState(writer, time.monotonic, time.time)
+        self.state = ShardState(
+            writer, time.monotonic, time.time, InstanceMetrics()
+        )
         self.runs = RunTracker(
             self.state,
             self._count_fence,
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -76,6 +76,8 @@
         Makes a call through some peer.
     clock : callable
         Monotonic seconds.
+    note : callable
+        Told the way and the status of each call.
     """
 
     def __init__(
@@ -83,8 +85,10 @@
         direct: Caller,
         relay: Caller,
         clock: Callable[[], Seconds],
+        note: Callable[[str, int], None],
     ) -> None:
         """Start with the direct way."""
+        self._note = note
         self._direct = direct
         self._relay = relay
         self._clock = clock
@@ -107,6 +111,7 @@
     async def _call_directly(self, call: RawCall) -> RawAnswer:
         patience = min(call.timeout, _DIRECT_TIMEOUT + call.waits)
         answer = await self._direct(call._replace(timeout=patience))
+        self._note('direct', answer.status)
         if answer.usable and self.lost:
             _log.info('store regained')
             self.lost = False
@@ -114,6 +119,7 @@
 
     async def _call_relay(self, call: RawCall, direct: RawAnswer) -> RawAnswer:
         relayed = await self._relay(call)
+        self._note('relay', relayed.status)
         if relayed.usable:
             return relayed
         self._avoid_relay_until = self._clock() + _AVOID_RELAY
--- /dev/null
+++ b/orchidrail/tests/test_logs.py
@@ -0,0 +1,57 @@
+"""Tests of bounded logs."""
+
+from __future__ import annotations
+
+import os
+
+import structlog
+from testtools import TestCase
+
+from orchidrail.logs import LineLimit, PatientOutput
+
+_PIPE_HOLDS = 70_000
+
+
+class LineLimitTest(TestCase):
+    def test_lines_left_out_are_counted_by_the_next(self) -> None:
+        now = 5.0
+        limit = LineLimit(2, lambda: now)
+        passed = 0
+        for _ in range(5):
+            try:
+                limit(None, 'info', {'event': 'a'})
+            except structlog.DropEvent:
+                continue
+            passed += 1
+        self.assertEqual(2, passed)
+        limit(None, 'info', {'event': 'b'})
+        now = 6.0
+        line = limit(None, 'info', {'event': 'a'})
+        self.assertEqual({'event': 'a', 'left_out': 3}, line)
+
+
+class PatientOutputTest(TestCase):
+    def test_a_reader_that_does_not_read_costs_lines_only(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        output = PatientOutput(writing)
+        line = 'x' * 1000 + '\n'
+        for _ in range(300):
+            output.write(line)
+        self.assertGreater(output.dropped, 0)
+        os.set_blocking(reading, False)
+        self._read_all(reading, output)
+        output.write('last\n')
+        tail = os.read(reading, 10 * _PIPE_HOLDS)
+        self.assertIn(b'lines dropped', tail)
+        self.assertTrue(tail.endswith(b'last\n'))
+
+    def _read_all(self, reading: int, output: PatientOutput) -> None:
+        while output._kept:
+            os.read(reading, _PIPE_HOLDS)
+            output.flush()
+        try:
+            os.read(reading, _PIPE_HOLDS)
+        except BlockingIOError:
+            return
