Read settings again, bound bodies while they are read, keep fillers apart

What a queue's tasks that fill would do to tasks with a target can't be known beforehand, so they never share a worker; pacing is left. Settings are read on SIGHUP and every 5 s. A body is refused while it is read, not after.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -91,7 +91,10 @@
             self.ownership.describe,
             random.Random(),
         )
-        self._advice = PlatformAdvice(self._caller, settings.advice)
+        self._advice = PlatformAdvice(
+            self._caller,
+            lambda: self.settings.advice,
+        )
         self.ownership.pinger = self._pinger
         self.ownership.ports = self._owner_ports()
         self._service = PeerService(
@@ -121,6 +124,19 @@
         )
         self.stopping = False
 
+    def use_settings(self, settings: InstanceSettings) -> None:
+        """Use changed settings: the addresses of what is called.
+
+        Where this process listens and who it is stay as they are.
+        """
+        if settings != self.settings:
+            _log.info(
+                'settings changed',
+                store=settings.store,
+                advice=settings.advice,
+            )
+            self.settings = settings
+
     def ready(self) -> bool:
         """Whether callers' new connections are welcome here."""
         return (
--- a/orchidrail/instance/main.py
+++ b/orchidrail/instance/main.py
@@ -8,7 +8,7 @@
 import signal
 import time
 from collections.abc import Generator
-from contextlib import AsyncExitStack, contextmanager
+from contextlib import AsyncExitStack, contextmanager, suppress
 
 import structlog
 import uvicorn
@@ -32,6 +32,8 @@
 _GRACE_SHARE = 0.8
 #: Idle connections of callers are closed by them first, after 15 s.
 _IDLE_SECONDS = 20
+#: The file may change without a signal.
+_READ_SETTINGS_EVERY: Seconds = 5
 
 
 class _Server(uvicorn.Server):
@@ -63,9 +65,11 @@
     )
 
 
-async def serve(settings: InstanceSettings) -> None:
+async def serve(path: str, settings: InstanceSettings) -> None:
     """Serve until a signal asks to stop; then finish what is in progress."""
-    stop = _stop_event()
+    stop = asyncio.Event()
+    changed = asyncio.Event()
+    _listen_to_signals(stop, changed)
     async with AsyncExitStack() as stack:
         daemon = InstanceDaemon(settings)
         callers = CallerApi(
@@ -79,20 +83,47 @@
             _serve(metrics_app(daemon.metrics), settings.metrics),
         )
         await daemon.run(stack)
+        reloading = asyncio.create_task(_follow_settings(daemon, path, changed))
+        stack.callback(reloading.cancel)
         _log.info('started', incarnation=daemon.me.incarnation)
         await stop.wait()
         await _finish(daemon, servers)
     _log.info('stopped')
 
 
-def _stop_event() -> asyncio.Event:
-    """Return an event that the signals to stop set."""
-    stop = asyncio.Event()
+def _listen_to_signals(stop: asyncio.Event, changed: asyncio.Event) -> None:
+    """Have signals set the events."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _log.info, 'settings unchanged')
-    return stop
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+
+
+async def _follow_settings(
+    daemon: InstanceDaemon,
+    path: str,
+    changed: asyncio.Event,
+) -> None:
+    """Read the settings file again after a signal, and now and then."""
+    while True:
+        with suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), _READ_SETTINGS_EVERY)
+        changed.clear()
+        try:
+            daemon.use_settings(load_settings(path))
+        except (OSError, KeyError, ValueError) as error:
+            _log.error('settings not usable', path=path, reason=repr(error))
+
+
+def load_settings(path: str) -> InstanceSettings:
+    """Read a settings file.
+
+    Raises
+    ------
+    OSError, KeyError, ValueError
+        If the file can't be read, or lacks a line, or one makes no sense.
+    """
+    return decode_settings(pathlib.Path(path).read_text())
 
 
 async def _finish(daemon: InstanceDaemon, servers: _Servers) -> None:
@@ -121,9 +152,9 @@
 def main() -> None:
     """Read the settings file and serve."""
     path = os.environ[_SETTINGS_VARIABLE]
-    settings = decode_settings(pathlib.Path(path).read_text())
+    settings = load_settings(path)
     configure_logs('info', daemon=settings.name, zone=settings.zone)
-    asyncio.run(serve(settings))
+    asyncio.run(serve(path, settings))
 
 
 if __name__ == '__main__':
--- a/orchidrail/platform/callers.py
+++ b/orchidrail/platform/callers.py
@@ -114,8 +114,8 @@
             return _text(HTTPStatus.NOT_FOUND, 'a job needs an id')
         config = self._config()
         assert config is not None
-        body = await request.read() or b''
-        if len(body) > config.limits.body_bytes:
+        body = await _read_body(request, config.limits.body_bytes)
+        if body is None:
             return _text(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 f'more than {config.limits.body_bytes!r} bytes',
@@ -173,6 +173,19 @@
         return _text(_NOT_READY, 'not ready')
 
 
+async def _read_body(request: Request, most: int) -> bytes | None:
+    """Read a body piece by piece; None once it is longer than `most`."""
+    announced = request.get_first_header(b'Content-Length') or b'0'
+    if announced.isdigit() and int(announced) > most:
+        return None
+    body = bytearray()
+    async for chunk in request.stream():  # type: ignore[attr-defined]
+        body += chunk
+        if len(body) > most:
+            return None
+    return bytes(body)
+
+
 def _find_target(config: CellConfig, request: Request) -> _Target | None:
     host = (request.get_first_header(b'Host') or b'').decode('latin-1')
     path = request.url.path.decode('latin-1')
--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from orchidrail.platform.http_calls import HttpCaller
@@ -151,8 +153,12 @@
 class PlatformAdvice:
     """Fits `AdviceCalls`."""
 
-    def __init__(self, caller: HttpCaller, address: Address) -> None:
-        """Share the connections of `caller`."""
+    def __init__(
+        self,
+        caller: HttpCaller,
+        address: Callable[[], Address],
+    ) -> None:
+        """Share the connections of `caller`; the address may change."""
         self._caller = caller
         self._address = address
 
@@ -165,7 +171,7 @@
         """See `AdviceCalls.advise`."""
         body = _encode({'phase': step_key, 'workers': workers})
         call = RawCall('POST', '/advise', body, timeout)
-        answer = await self._caller.call(self._address, call)
+        answer = await self._caller.call(self._address(), call)
         if answer.status != _OK:
             return None
         advice = _decode_advice(answer.body)
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -4,12 +4,13 @@
 
 import math
 from collections import Counter
+from enum import Enum
 
 import msgspec
 
 from orchidrail.types import Seconds, WorkerId
 from orchidrail.work.job import Task
-from orchidrail.work.model import Size
+from orchidrail.work.model import Size, StepSpec
 from orchidrail.workers.port import RunKey, WorkerEntry, WorkerState
 from orchidrail.workers.session import WorkerSession
 
@@ -20,6 +21,37 @@
 _STALLED_AFTER: Seconds = 1.5
 
 
+class TaskRole(Enum):
+    """How a task gets on with others on its worker."""
+
+    PLAIN = 'plain'
+    #: Uses what others leave, and slows those that serve.
+    FILLS = 'fills'
+    #: Serves users of its own, whose answers must stay quick.
+    SERVES = 'serves'
+
+
+#: Roles that are never put beside each other: a task that fills slows one
+#: that serves by an amount that shifts within seconds.
+_KEPT_APART = {
+    TaskRole.FILLS: TaskRole.SERVES,
+    TaskRole.SERVES: TaskRole.FILLS,
+}
+
+
+def role_of(spec: StepSpec) -> TaskRole:
+    """Return the role of a step's tasks.
+
+    Examples
+    --------
+    >>> role_of(StepSpec(1, fills=True))
+    <TaskRole.FILLS: 'fills'>
+    """
+    if spec.fills:
+        return TaskRole.FILLS
+    return TaskRole.SERVES if spec.target else TaskRole.PLAIN
+
+
 class PlacedRun(msgspec.Struct):
     """A run that takes room of a worker until it has surely ended.
 
@@ -81,6 +113,8 @@
         self.run_by_key: dict[RunKey, PlacedRun] = {}
         self.held_by_step: dict[str, Size] = {}
         self.count_by_step: Counter[str] = Counter()
+        #: Tasks here that fill, and tasks whose answers' times are watched.
+        self.count_by_role: Counter[TaskRole] = Counter()
         self.rests_until: Seconds = 0
         #: Whether something that runs here makes no progress.
         self.stalled = False
@@ -119,6 +153,8 @@
         else:
             self.free -= run.size
         self.count_by_step[step_key] += 1
+        if run.task is not None:
+            self.count_by_role[role_of(run.task.step.spec)] += 1
 
     def release(self, key: RunKey) -> PlacedRun | None:
         """Free the room of a run that has surely ended."""
@@ -131,6 +167,8 @@
             self.free += run.size
         step_key = key.task.rpartition('.')[0]
         self.count_by_step[step_key] -= 1
+        if run.task is not None:
+            self.count_by_role[role_of(run.task.step.spec)] -= 1
         if not self.count_by_step[step_key]:
             self.count_by_step.pop(step_key)
         self.changes += 1
@@ -148,6 +186,11 @@
             self.free += size
             self.changes += 1
 
+    def bears(self, spec: StepSpec) -> bool:
+        """Whether a step's tasks get on with what runs here."""
+        other = _KEPT_APART.get(role_of(spec))
+        return other is None or not self.count_by_role[other]
+
     def copies(self, step_key: str, size: Size, most: int) -> int:
         """Return how many more tasks of a step have room here."""
         fitting = size.times_in(self.free)
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -21,7 +21,7 @@
     """Whether the worker is of the kind and size that the step needs."""
     if spec.label and spec.label not in books.entry.labels:
         return False
-    return spec.charged.fits(books.entry.capacity)
+    return books.bears(spec) and spec.charged.fits(books.entry.capacity)
 
 
 def choose_workers(
