--- /dev/null
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -0,0 +1,253 @@
+"""Tests of the platform's formats, on its own published examples."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+
+from orchidrail.platform import documents
+from orchidrail.platform.store_log import PlatformLog
+from orchidrail.platform.worker_calls import PlatformWorkers
+from orchidrail.store import (
+    Appended,
+    EndMoved,
+    KeyedRecord,
+    LatestPage,
+    NotAppended,
+    RecordPage,
+    Topic,
+    Trimmed,
+    Uncertain,
+)
+from orchidrail.store.relay import RawAnswer, RawCall
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import Epoch, Offset, RunNumber, TaskKey
+from orchidrail.work.model import Size
+from orchidrail.workers.port import (
+    HoldOrder,
+    Listing,
+    OrderAnswer,
+    OrderResult,
+    RunEnding,
+    RunKey,
+    StartOrder,
+    WorkerState,
+)
+from orchidrail.workers.tests.fakes import make_entry
+
+_TOPIC = Topic('keyed.x', 2)
+_SETTINGS = """
+nodeName=frontend-laval-hall-1
+ip=10.1.0.13
+zone=laval-hall
+bindAddresses.frontend=10.1.0.13:8161
+bindAddresses.ready=10.1.0.13:8167
+internalPortRange=7720,7735
+bounds.maxHoldMs=5000
+bounds.stop_ms=
+platform.address=10.200.1.7:8169
+something.new=1
+"""
+
+
+class StoreLogTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.calls: list[RawCall] = []
+        self.answer = RawAnswer(200)
+        self.log = PlatformLog(self._call)
+
+    async def _call(self, call: RawCall) -> RawAnswer:
+        self.calls.append(call)
+        return self.answer
+
+    def append(self) -> object:
+        record = KeyedRecord('ab', b'xyz')
+        return self.run_async(self.log.append(_TOPIC, [record], Offset(7)))
+
+    def test_a_record_is_a_length_a_key_and_a_value(self) -> None:
+        self.answer = RawAnswer(200, b'{"offset":7,"end":8}')
+        self.assertEqual(Appended(Offset(7), Offset(8)), self.append())
+        self.assertEqual(b'\x00\x00\x00\x06\x02abxyz', self.calls[0].body)
+        self.assertIn('topic=keyed.x&part=2&at=7', self.calls[0].target)
+
+    def test_endings_of_an_append(self) -> None:
+        table = (
+            (RawAnswer(412, b'{"end":9}'), EndMoved),
+            (RawAnswer(503), NotAppended),
+            (RawAnswer(0, b'', reached=False), NotAppended),
+            (RawAnswer(0, b'timeout'), Uncertain),
+        )
+        for answer, expected in table:
+            self.answer = answer
+            self.assertIsInstance(self.append(), expected)
+
+    def test_a_page_of_records(self) -> None:
+        head = (9).to_bytes(8, 'big') + (0).to_bytes(8, 'big')
+        self.answer = RawAnswer(
+            200,
+            head + b'\x00\x00\x00\x03\x01av' + b'\x00\x00\x00\x02\x01b',
+        )
+        page = self.run_async(self.log.read(_TOPIC, Offset(7)))
+        records = [KeyedRecord('a', b'v'), KeyedRecord('b', b'')]
+        self.assertEqual(RecordPage(Offset(9), records), page)
+
+    def test_records_that_are_gone(self) -> None:
+        self.answer = RawAnswer(410, b'{"first":5}')
+        outcome = self.run_async(self.log.read(_TOPIC, Offset(1)))
+        self.assertEqual(Trimmed(Offset(5)), outcome)
+
+    def test_the_newest_of_each_key(self) -> None:
+        item = {'tlsKey': 'a', 'value': 'dg==', 'offset': 4}
+        body = {'items': [item], 'more': True, 'end': 6}
+        self.answer = RawAnswer(200, json.dumps(body).encode())
+        page = self.run_async(self.log.latest(_TOPIC))
+        expected = LatestPage([KeyedRecord('a', b'v')], 'a', Offset(6))
+        self.assertEqual(expected, page)
+
+
+class _Caller:
+    def __init__(self, answer: RawAnswer) -> None:
+        self.answer = answer
+        self.bodies: list[dict[str, object]] = []
+
+    async def call(
+        self,
+        address: str,
+        call: RawCall,
+        headers: dict[str, str],
+    ) -> RawAnswer:
+        self.bodies.append(json.loads(call.body))
+        self.headers = headers
+        return self.answer
+
+
+class WorkerCallsTest(AsyncTestCase):
+    def play(
+        self,
+        answer: RawAnswer,
+        scene: Callable[[PlatformWorkers], Awaitable[object]],
+    ) -> tuple[object, _Caller]:
+        caller = _Caller(answer)
+        workers = PlatformWorkers(caller)  # type: ignore[arg-type]
+
+        async def run() -> object:
+            return await scene(workers)
+
+        return self.run_async(run()), caller
+
+    def test_results_of_a_start(self) -> None:
+        key = RunKey(TaskKey('j.0.0.1'), RunNumber(2))
+        order = StartOrder(key, 'text', 486, Epoch(7), 'saved', 'ticket')
+        table = (
+            (RawAnswer(200, b'{"clockMs":5}'), OrderResult.TAKEN),
+            (RawAnswer(409, b'{"reason":"fence"}'), OrderResult.FENCED),
+            (RawAnswer(409, b'{"reason":"ticket"}'), OrderResult.NO_TICKET),
+            (RawAnswer(409, b'{"reason":"old"}'), OrderResult.OLD_RUN),
+            (RawAnswer(421), OrderResult.OTHER_LIFE),
+            (RawAnswer(429), OrderResult.UNWELL),
+            (RawAnswer(0), OrderResult.UNKNOWN),
+            (RawAnswer(0, reached=False), OrderResult.NOT_SENT),
+        )
+        for answer, expected in table:
+            outcome, caller = self.play(
+                answer,
+                lambda workers: workers.start(make_entry(), order, 1),
+            )
+            assert isinstance(outcome, OrderAnswer)
+            self.assertIs(expected, outcome.result)
+        self.assertEqual(486_000, caller.bodies[0]['deadlineMs'])
+        self.assertEqual('saved', caller.bodies[0]['checkpoint'])
+        expected_life = {'X-Orchidrail-Expect-Instance': 'w-1'}
+        self.assertEqual(expected_life, caller.headers)
+
+    def test_a_listing(self) -> None:
+        body = (
+            b'{"clockMs":482113,"active":[["j.0.1.17",2,"saved",41]],'
+            b'"ended":[[58,"j.0.1.9",1,"done",""]]}'
+        )
+        listing, caller = self.play(
+            RawAnswer(200, body),
+            lambda workers: workers.hold(
+                make_entry(),
+                HoldOrder(Epoch(7), 486, 57, 1),
+                2,
+            ),
+        )
+        assert isinstance(listing, Listing)
+        self.assertEqual(482.113, listing.clock)
+        self.assertEqual(41, listing.active[0].share_done)
+        self.assertIs(RunEnding.DONE, listing.ended[0].ending)
+        self.assertEqual(57, caller.bodies[0]['lastSeen'])
+
+
+class DocumentsTest(AsyncTestCase):
+    def test_a_job(self) -> None:
+        raw = (
+            b'{"spec":"t","phases":[{"count":4,"cpu":500,"memMb":256,'
+            b'"affinity":"r1-3"},{"count":20,"afterRevision":[0],'
+            b'"checkpointing":true,"gangScheduled":true,"target_ms":50,'
+            b'"may_miss":2,"antiAffinity":3}]}'
+        )
+        spec = self.assert_ok(documents.decode_job(raw))
+        first, second = spec.steps
+        self.assertEqual(
+            (4, Size(500, 256), 'r1-3'),
+            (
+                first.count,
+                first.size,
+                first.data_rack,
+            ),
+        )
+        self.assertEqual((0,), second.after)
+        self.assertTrue(second.gang and second.keeps_checkpoint)
+        self.assertEqual(
+            (0.05, 2, 3),
+            (
+                second.target,
+                second.may_miss,
+                second.most_per_worker,
+            ),
+        )
+
+    def test_jobs_that_make_no_sense(self) -> None:
+        for raw in (
+            b'',
+            b'{"spec":1}',
+            b'{"spec":"t","phases":[]}',
+            b'{"spec":"t","phases":[{"count":0}]}',
+            b'{"spec":"t","phases":[{"count":1,"afterRevision":[0]}]}',
+            b'{"spec":"\xff","phases":[{"count":1}]}',
+        ):
+            self.assertTrue(documents.decode_job(raw).is_err(), raw)
+
+    def test_a_worker(self) -> None:
+        raw = (
+            b'{"service":"s","address":"a:1","zone":"z","state":"draining",'
+            b'"capacity":{"cpu":16000,"memMb":32768,"gpu":0},'
+            b'"labels":["a","r1-3"],"remainingMs":4000,"sequence":4}'
+        )
+        entry = self.assert_ok(documents.decode_worker('i-1', raw))
+        self.assertIs(WorkerState.DRAINING, entry.state)
+        self.assertEqual(('r1-3', 4), (entry.rack, entry.leaves_in))
+
+    def test_a_configuration(self) -> None:
+        raw = (
+            b'{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",'
+            b'"timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"s",'
+            b'"maxAttempts":3,"extension":1.5,'
+            b'"advice":{"decide_ms":10,"each_ms":1,"valid_ms":1500}}],'
+            b'"limits":{"maxBodyBytes":5}}'
+        )
+        config = self.assert_ok(documents.decode_config(raw))
+        queue = config.find_queue('h', '/p/0123')
+        self.assertEqual((0.25, 1.5), (queue.target, queue.stretch))
+        self.assertEqual(0.04, queue.advice.duration(30))
+        self.assertEqual(5, config.limits.body_bytes)
+        self.assertIsNone(config.find_queue('other', '/p/0123'))
+
+    def test_settings_pass_over_what_is_not_known(self) -> None:
+        settings = documents.decode_settings(_SETTINGS)
+        self.assertEqual('10.1.0.13:7720', settings.peers)
+        self.assertEqual(5, settings.bounds.longest_lease)
+        self.assertEqual(1, settings.bounds.stop_takes)
--- /dev/null
+++ b/orchidrail/shard/tests/test_advice_desk.py
@@ -0,0 +1,93 @@
+"""Tests of how questions are spread over the lanes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from orchidrail.shard.advice_desk import AdviceDesk, Question
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import InstanceId, Seconds, WorkerId
+from orchidrail.workers.port import Advice
+
+_LONG = 0.7
+_SHORT = 0.01
+
+
+class AdviceDeskTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.asked: list[tuple[InstanceId, str]] = []
+        self.answers: dict[str, asyncio.Future[Advice | None]] = {}
+
+    async def _ask(
+        self,
+        lane: InstanceId,
+        step_key: str,
+        workers: list[WorkerId],
+        timeout: Seconds,
+    ) -> Advice | None:
+        self.asked.append((lane, step_key))
+        self.answers[step_key] = asyncio.get_running_loop().create_future()
+        return await self.answers[step_key]
+
+    def _desk(self, lanes: int) -> AdviceDesk:
+        desk = AdviceDesk(self._ask, time.monotonic)
+        desk.use_lanes(
+            [InstanceId(f'lane-{number}') for number in range(lanes)]
+        )
+        return desk
+
+    async def _put(
+        self,
+        desk: AdviceDesk,
+        key: str,
+        duration: Seconds,
+        rank: float = 1,
+    ) -> asyncio.Task[Advice | None]:
+        question = Question(key, [], duration, (rank,))
+        asking = asyncio.create_task(desk.ask(question))
+        await asyncio.sleep(0.01)
+        return asking
+
+    def test_one_call_at_a_time_in_a_lane_most_urgent_next(self) -> None:
+        async def scene() -> None:
+            desk = self._desk(1)
+            await self._put(desk, 'first', _SHORT)
+            await self._put(desk, 'later', _SHORT, rank=2)
+            await self._put(desk, 'urgent', _SHORT, rank=0)
+            self.assertEqual(1, len(self.asked))
+            self.answers['first'].set_result(Advice({}, 1))
+            await asyncio.sleep(0.01)
+            self.assertEqual('urgent', self.asked[-1][1])
+            desk.close()
+
+        self.run_async(scene())
+
+    def test_long_calls_leave_a_lane_for_short_ones(self) -> None:
+        async def scene() -> None:
+            desk = self._desk(3)
+            for key in ('a', 'b', 'c'):
+                await self._put(desk, key, _LONG)
+            await self._put(desk, 'quick', _SHORT)
+            self.assertIn('quick', [key for _, key in self.asked])
+            self.assertNotIn('c', [key for _, key in self.asked])
+            desk.close()
+
+        self.run_async(scene())
+
+    def test_a_question_without_answer_goes_to_another_lane(self) -> None:
+        async def scene() -> None:
+            desk = self._desk(2)
+            asking = await self._put(desk, 'a', _SHORT)
+            self.answers['a'].set_result(None)
+            await asyncio.sleep(0.02)
+            lanes = {lane for lane, _ in self.asked}
+            self.assertEqual(2, len(lanes))
+            self.answers['a'].set_result(Advice({WorkerId('w'): 't'}, 1))
+            advice = await asking
+            assert advice is not None
+            self.assertEqual({'w': 't'}, advice.ticket_by_worker)
+            desk.close()
+
+        self.run_async(scene())
--- /dev/null
+++ b/orchidrail/shard/tests/test_placing.py
@@ -0,0 +1,92 @@
+"""Tests of choosing workers for a step."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+from testtools import TestCase
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.placing import choose_workers, suits
+from orchidrail.types import Epoch, RunNumber, TaskKey
+from orchidrail.work.job import StepState
+from orchidrail.work.model import Size, StepSpec
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.lease import RunLease
+from orchidrail.workers.port import RunKey
+from orchidrail.workers.session import WorkerSession
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+
+
+def _books(name: str, cores: int = 4, rack: str = 'r-1') -> WorkerBooks:
+    entry = msgspec.structs.replace(
+        make_entry(name, cores),
+        labels=('kind-a', rack),
+    )
+    session = WorkerSession(
+        entry,
+        FakeWorker(),
+        Epoch(1),
+        RunLease(6, 0),
+        None,  # type: ignore[arg-type]
+        time.monotonic,
+        lambda: True,
+    )
+    return WorkerBooks(session)
+
+
+def _step(spec: StepSpec) -> StepState:
+    return next(make_job(spec).open_steps(0))
+
+
+def _choose(spec: StepSpec, *books: WorkerBooks) -> list[str]:
+    step = _step(spec)
+    chosen = choose_workers(step, step.startable(), list(books))
+    return [placement.books.worker for placement in chosen]
+
+
+class PlacingTest(TestCase):
+    def test_a_step_takes_what_has_room(self) -> None:
+        spec = StepSpec(3, size=Size(2000))
+        self.assertEqual(['a', 'a'], _choose(spec, _books('a')))
+
+    def test_a_gang_is_placed_whole_or_not(self) -> None:
+        spec = StepSpec(3, size=Size(2000), gang=True)
+        self.assertEqual([], _choose(spec, _books('a')))
+        self.assertEqual(3, len(_choose(spec, _books('a'), _books('b'))))
+
+    def test_the_tightest_worker_goes_first(self) -> None:
+        spec = StepSpec(1, size=Size(2000))
+        self.assertEqual(['b'], _choose(spec, _books('a', 8), _books('b', 2)))
+
+    def test_data_draws_tasks_to_its_rack(self) -> None:
+        spec = StepSpec(1, size=Size(1000), data_rack='r-2')
+        near = _books('near', 8, 'r-2')
+        self.assertEqual(['near'], _choose(spec, _books('far', 2), near))
+
+    def test_a_gang_that_shares_much_stays_in_one_rack(self) -> None:
+        spec = StepSpec(2, size=Size(2000), gang=True, one_rack=True)
+        racks = _books('a', 2, 'r-1'), _books('b', 4, 'r-2')
+        self.assertEqual(['b', 'b'], _choose(spec, *racks))
+
+    def test_copies_on_one_worker_are_limited(self) -> None:
+        spec = StepSpec(3, size=Size(100), most_per_worker=1)
+        self.assertEqual(2, len(_choose(spec, _books('a'), _books('b'))))
+
+    def test_a_label_is_needed(self) -> None:
+        self.assertTrue(suits(StepSpec(1, label='kind-a'), _books('a')))
+        self.assertFalse(suits(StepSpec(1, label='kind-b'), _books('a')))
+
+    def test_what_fills_is_kept_from_what_serves(self) -> None:
+        books = _books('a')
+        serving = StepSpec(1, size=Size(10), target=0.1, lasting=True)
+        filling = StepSpec(1, size=Size(10), fills=True)
+        step = _step(serving)
+        key = RunKey(TaskKey(f'{step.key}.0'), RunNumber(1))
+        run = PlacedRun(key, Size(10), step.tasks[0], 0)
+        books.charge(run, step.key)
+        self.assertFalse(suits(filling, books))
+        self.assertTrue(suits(serving, books))
+        books.release(key)
+        self.assertTrue(suits(filling, books))
--- /dev/null
+++ b/orchidrail/store/tests/test_relay.py
@@ -0,0 +1,66 @@
+"""Tests of calls that go through a peer."""
+
+from __future__ import annotations
+
+from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
+from orchidrail.testing import AsyncTestCase
+
+_CALL = RawCall('GET', '/x')
+_OK = 200
+_BUSY = 503
+
+
+class RelayTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 100.0
+        self.direct = RawAnswer(_OK)
+        self.relayed = RawAnswer(_OK, b'relayed')
+        self.ways: list[str] = []
+        self.caller = RelayedCaller(
+            self._call_directly,
+            self._call_relay,
+            lambda: self.now,
+            lambda way, status: None,
+        )
+
+    async def _call_directly(self, call: RawCall) -> RawAnswer:
+        self.ways.append('direct')
+        return self.direct
+
+    async def _call_relay(self, call: RawCall) -> RawAnswer:
+        self.ways.append('relay')
+        return self.relayed
+
+    def call(self) -> RawAnswer:
+        return self.run_async(self.caller(_CALL))
+
+    def test_goes_directly_while_that_works(self) -> None:
+        self.assertEqual(_OK, self.call().status)
+        self.assertEqual(['direct'], self.ways)
+
+    def test_goes_through_a_peer_when_turned_away(self) -> None:
+        self.direct = RawAnswer(_BUSY)
+        self.assertEqual(b'relayed', self.call().body)
+        self.assertEqual(b'relayed', self.call().body)
+        self.assertEqual(['direct', 'relay', 'relay'], self.ways)
+        self.now += 1
+        self.direct = RawAnswer(_OK)
+        self.assertEqual(b'', self.call().body)
+
+    def test_asks_no_peer_for_a_while_when_none_can_help(self) -> None:
+        self.direct = RawAnswer(_BUSY)
+        self.relayed = RawAnswer(_BUSY)
+        self.call()
+        self.call()
+        self.assertEqual(['direct', 'relay'], self.ways)
+
+    def test_a_call_that_may_have_got_through_stays_uncertain(self) -> None:
+        self.direct = RawAnswer(0, reached=True)
+        self.relayed = RawAnswer(0, reached=False)
+        self.assertTrue(self.call().reached)
+
+    def test_an_error_of_the_call_itself_is_passed_on(self) -> None:
+        self.direct = RawAnswer(412)
+        self.assertEqual(412, self.call().status)
+        self.assertEqual(['direct'], self.ways)
