--- /dev/null
+++ b/orchidrail/cli/explain.py
@@ -0,0 +1,120 @@
+"""What the logs say of one job, and of what went on around it."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+
+#: Fields in which a line may name a job or one of its tasks or steps.
+_NAMING_FIELDS = ('job', 'task', 'step', 'jobs', 'tasks')
+#: Lines that may explain what happened to any job at that time.
+_SURROUNDING = frozenset(
+    (
+        'configuration in force',
+        'handing over',
+        'nobody took over',
+        'owner changed',
+        'owner ends',
+        'shard load',
+        'shard taken over',
+        'started',
+        'stopping',
+        'store lost',
+        'store regained',
+        'worker given up',
+        'worker lost',
+        'worker rests',
+        'worker stands still',
+    )
+)
+_HIDDEN_FIELDS = frozenset(('timestamp', 'daemon', 'zone', 'level', 'event'))
+
+
+class LogLine(NamedTuple):
+    """One line of a log."""
+
+    timestamp: str
+    daemon: str
+    event: str
+    fields: dict[str, Any]
+
+    def names(self, job_id: str) -> bool:
+        """Whether the line is about the job, a step or a task of it."""
+        return any(
+            job_id in str(self.fields.get(field, ''))
+            for field in _NAMING_FIELDS
+        )
+
+    def show(self) -> str:
+        """Return the line for people to read."""
+        shown = ' '.join(
+            f'{name}={found}'
+            for name, found in self.fields.items()
+            if name not in _HIDDEN_FIELDS
+        )
+        return f'{self.timestamp} {self.daemon} {self.event}: {shown}'
+
+
+def explain(job_id: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines on a job, and those that surround it, in order.
+
+    Parameters
+    ----------
+    job_id : str
+    lines : iterable of str
+        Lines of all processes, in any order; text before the JSON object and
+        lines without one are passed over.
+
+    Examples
+    --------
+    >>> found = explain('ab', [
+    ...     '1.0 x {"timestamp": "2", "event": "job accepted", "job": "ab"}',
+    ...     '{"timestamp": "1", "event": "started"}',
+    ...     '{"timestamp": "2", "event": "store lost"}',
+    ... ])
+    >>> [line.event for line in found]
+    ['job accepted', 'store lost']
+    """
+    parsed = sorted(_parse(lines), key=lambda line: line.timestamp)
+    own = [line for line in parsed if line.names(job_id)]
+    if not own:
+        return []
+    first, last = own[0].timestamp, own[-1].timestamp
+    return [
+        line
+        for line in parsed
+        if line.names(job_id)
+        or (line.event in _SURROUNDING and first <= line.timestamp <= last)
+    ]
+
+
+def read_lines(paths: Iterable[str]) -> Iterator[str]:
+    """Yield the lines of some files.
+
+    Raises
+    ------
+    OSError
+        If a file can't be read.
+    """
+    for path in paths:
+        yield from pathlib.Path(path).read_text().splitlines()
+
+
+def _parse(lines: Iterable[str]) -> Iterator[LogLine]:
+    for line in lines:
+        start = line.find('{')
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(line[start:], type=dict[str, Any])
+        except msgspec.MsgspecError:
+            continue
+        yield LogLine(
+            str(fields.get('timestamp', '')),
+            str(fields.get('daemon', '')),
+            str(fields.get('event', '')),
+            fields,
+        )
--- a/orchidrail/cli/main.py
+++ b/orchidrail/cli/main.py
@@ -11,11 +11,13 @@
 
 import fire
 import msgspec
+from fire import decorators
 
 from orchidrail.bundles.model import Bundle
 from orchidrail.bundles.signing import make_key
 from orchidrail.cli.bundle_commands import BundleCommands
 from orchidrail.cli.context import Command, Context
+from orchidrail.cli.explain import explain, read_lines
 from orchidrail.cli.job_commands import JobCommands
 from orchidrail.cli.output import ExitCode, fail, say, show, show_json
 from orchidrail.gateway.access import digest_of, make_bearer_key
@@ -193,6 +195,21 @@
         self.key = KeyCommands()
         self.status = StatusCommand(path, json).status
 
+    @decorators.SetParseFns(job=str)
+    def explain(self, job: str, *logs: str) -> None:
+        """Tell what log files say of a job, and of what went on meanwhile.
+
+        Example: orchidrail explain 5c0e7a21d94b36f8 entry-1.log entry-2.log
+        """
+        try:
+            found = explain(str(job), read_lines(logs))
+        except OSError as error:
+            fail(ExitCode.USAGE, str(error))
+        if not found:
+            fail(ExitCode.REFUSED, f'no line names {job!r}')
+        for line in found:
+            say(line.show())
+
 
 async def read_statuses(context: Context) -> list[DaemonStatus]:
     """Ask all schedulers of the settings for their status."""
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -158,6 +158,13 @@
         if self.knows(job_id):
             return await self._wait_known(job_id)
         if not self.accepting():
+            _log.info(
+                'job refused',
+                job=job_id,
+                queue=queue.name,
+                unconfirmed=round(self.writer.unconfirmed_for(), 3),
+                trouble=self.writer.trouble,
+            )
             return False
         record = JobRecord(queue, spec, self._ports.wall_clock())
         job = Job(job_id, record)
