Wait for unlogged starts of an earlier owner

It also passed over the end of a run newer than any it knew. Ruled out: placing while a job is written (both jobs were accepted seconds before). Tests failed first.

--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import structlog
@@ -61,6 +62,8 @@
         self._view = view
         self._clock = clock
         self._read_at: Seconds = -READ_EVERY
+        #: The journal's newest record was not there yet at this time.
+        self._moved_after: Seconds = -math.inf
 
     def describe(self) -> PeerState:
         """Return what this process tells its peers."""
@@ -104,8 +107,11 @@
         await self._read()
 
     async def _read(self) -> bool:
-        self._read_at = self._clock()
+        before, self._read_at = self._read_at, self._clock()
+        end = self._view.end
         read = await self._view.catch_up()
+        if end is not None and self._view.end != end:
+            self._moved_after = before
         owner = current_owner(self._view)
         if owner is not None:
             self._table.learn_claim(
@@ -134,6 +140,8 @@
                 return
             if epoch and not self._owner_is_gone():
                 return
+        else:
+            await self._read()
         assert self.ports is not None
         began = self._clock()
         try:
@@ -148,7 +156,8 @@
             await self._read()
             return
         self.ports.metrics.taking_over.observe(self._clock() - began)
-        await self._own(ShardOwner(writer, self.ports))
+        silent_for = self._clock() - self._moved_after
+        await self._own(ShardOwner(writer, self.ports, silent_for))
 
     async def _own(self, owner: ShardOwner) -> None:
         epoch = owner.writer.owner.epoch
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -79,6 +79,7 @@
             while True:
                 if await self._view.catch_up():
                     self._take_entries()
+                    self._state.workers_listed = True
                 self._sweep()
                 await asyncio.sleep(_READ_EVERY)
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -64,9 +64,17 @@
     writer : JournalWriter
         Just taken over.
     ports : OwnerPorts
+    silent_for : float
+        Most seconds for which the journal may have been silent before: an
+        earlier owner may have started work that it could not write down.
     """
 
-    def __init__(self, writer: JournalWriter, ports: OwnerPorts) -> None:
+    def __init__(
+        self,
+        writer: JournalWriter,
+        ports: OwnerPorts,
+        silent_for: Seconds,
+    ) -> None:
         """Restore the jobs from the journal."""
         self.writer = writer
         self._ports = ports
@@ -86,6 +94,9 @@
         self.desk = AdviceDesk(ports.ask, ports.clock)
         self.placer = Placer(self.state, self.runs, self.desk)
         earlier = writer.owner.epoch > 1
+        doubted = doubt_until(now, ports.longest_lease) if earlier else 0
+        if silent_for >= UNLOGGED_AFTER:
+            self.state.unlogged_until = doubted
         self._fleet = Fleet(
             self.state,
             self.runs,
@@ -93,9 +104,7 @@
             ports.worker_calls,
             ports.decode_entry,
             longest_lease=ports.longest_lease,
-            doubt_until=(
-                doubt_until(now, ports.longest_lease) if earlier else 0
-            ),
+            doubt_until=doubted,
             may_renew=self._may_renew,
         )
         self._restore()
@@ -254,12 +263,15 @@
             job = Job(stored.job_id, stored.record)
             job.restore(stored.progress)
             job.accepted = True
+            job.restored = True
             self.state.job_by_id[stored.job_id] = job
             self.state.note_change(job)
             for row in stored.progress.rows:
                 task = job.find_task(row.round_number, row.step, row.index)
                 if task is not None and task.phase is TaskPhase.PLACED:
-                    self.state.unresolved_by_worker[task.worker].append(task)
+                    self.state.unresolved_by_worker[task.worker].append(
+                        (task, task.run)
+                    )
         _log.info(
             'jobs restored',
             jobs=len(self.state.job_by_id),
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -94,7 +94,7 @@
         earmarks = 0
         for rank, step in ranked:
             tasks = step.startable()
-            if not tasks:
+            if not tasks or self._state.may_be_running(step.job):
                 continue
             usable = [
                 books
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -146,9 +146,12 @@
         for run in list(books.run_by_key.values()):
             if run.key not in seen and _surely_gone(run, listing, sent_at):
                 self._lose(books, run, touched)
-        for task in self._state.unresolved_by_worker.pop(session.worker, ()):
-            if RunKey(task.key, task.run) not in seen:
-                self._requeue(task, touched)
+        for task, number in self._state.unresolved_by_worker.pop(
+            session.worker,
+            (),
+        ):
+            if RunKey(task.key, number) not in seen:
+                self._requeue(task, number, touched)
         return self._settle_all(listing, touched)
 
     def _settle_all(
@@ -179,8 +182,8 @@
         lost = list(books.run_by_key.values()) if books else []
         for run in lost:
             self._lose(books, run, touched)
-        for task in self._state.unresolved_by_worker.pop(worker, ()):
-            self._requeue(task, touched)
+        for task, number in self._state.unresolved_by_worker.pop(worker, ()):
+            self._requeue(task, number, touched)
         for job in touched.values():
             self._settle(job)
         if touched:
@@ -334,7 +337,7 @@
         books.charge(run, active.key.task.rpartition('.')[0])
         unlogged = (
             task is not None
-            and task.phase is TaskPhase.WAITING
+            and task.phase is not TaskPhase.DONE
             and active.key.run > task.run
         )
         if task is not None and unlogged:
@@ -407,13 +410,16 @@
         """Take a run for ended that left no end behind."""
         if books is not None:
             books.release(run.key)
-        task = run.task
-        if task is None or task.run != run.key.run:
-            return
-        self._requeue(task, touched)
+        if run.task is not None:
+            self._requeue(run.task, run.key.run, touched)
 
-    def _requeue(self, task: Task, touched: dict[str, Job]) -> None:
-        if task.phase is not TaskPhase.PLACED:
+    def _requeue(
+        self,
+        task: Task,
+        number: RunNumber,
+        touched: dict[str, Job],
+    ) -> None:
+        if task.phase is not TaskPhase.PLACED or task.run != number:
             return
         job = task.step.job
         job.end_run(task, task.run, RunEnding.LAPSED, '')
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -10,7 +10,7 @@
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.books import WorkerBooks
-from orchidrail.types import JobId, Seconds, TaskKey, WorkerId
+from orchidrail.types import JobId, RunNumber, Seconds, TaskKey, WorkerId
 from orchidrail.work.job import Job, Task
 from orchidrail.work.records import (
     EndedRecord,
@@ -52,9 +52,13 @@
         self.job_by_id: dict[JobId, Job] = {}
         self.books_by_worker: dict[WorkerId, WorkerBooks] = {}
         #: Tasks that an earlier owner placed on a worker not yet heard from.
-        self.unresolved_by_worker: dict[WorkerId, list[Task]] = defaultdict(
-            list
-        )
+        self.unresolved_by_worker: dict[
+            WorkerId, list[tuple[Task, RunNumber]]
+        ] = defaultdict(list)
+        #: Until then, workers not heard from may run what no journal names.
+        self.unlogged_until: Seconds = 0
+        #: Whether the workers' entries were read.
+        self.workers_listed = False
         #: Set when something may be placed that could not before.
         self.wanted = asyncio.Event()
         self.changed_jobs: set[JobId] = set()
@@ -69,6 +73,17 @@
             return None
         return job.find_task(int(parts[1]), int(parts[2]), int(parts[3]))
 
+    def may_be_running(self, job: Job) -> bool:
+        """Whether a job's waiting tasks may run where nobody has looked yet."""
+        if not job.restored or self.clock() > self.unlogged_until:
+            return False
+        if not self.workers_listed:
+            return True
+        return any(
+            not books.session.fence_raised and not books.session.over
+            for books in self.books_by_worker.values()
+        )
+
     def note_change(self, job: Job) -> None:
         """Have the job's steps looked at again."""
         self.changed_jobs.add(job.job_id)
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -53,7 +53,7 @@
             status_kept=120,
             metrics=InstanceMetrics(),
         )
-        return ShardOwner(writer, ports)
+        return ShardOwner(writer, ports, silent_for=0)
 
     def play(self, scene: Callable[[ShardOwner], Awaitable[None]]) -> None:
         """Run a scene beside the owner."""
@@ -79,6 +79,18 @@
 
         self.play(scene)
 
+    def test_a_job_is_looked_at_while_it_is_written(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.REFUSES
+            submitting = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
+            await asyncio.sleep(0.1)
+            self.assertFalse(submitting.done())
+            self.assertIn(_JOB, owner.placer._steps_by_job)
+            self.store.fault = None
+            self.assertTrue(await submitting)
+
+        self.play(scene)
+
     def test_a_job_is_accepted_once(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             outcomes = await asyncio.gather(
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -191,7 +191,9 @@
             step = shard.add(job)
             task = step.tasks[0]
             job.place(task, RunNumber(1), shard.books.worker)
-            shard.state.unresolved_by_worker[shard.books.worker] = [task]
+            shard.state.unresolved_by_worker[shard.books.worker] = [
+                (task, task.run)
+            ]
             key = RunKey(task.key, RunNumber(1))
             shard.worker.active[key] = ActiveRun(key, '', 50)
             await shard.look()
@@ -206,7 +208,9 @@
             step = shard.add(job)
             task = step.tasks[0]
             job.place(task, RunNumber(1), shard.books.worker)
-            shard.state.unresolved_by_worker[shard.books.worker] = [task]
+            shard.state.unresolved_by_worker[shard.books.worker] = [
+                (task, task.run)
+            ]
             await shard.look()
             self.assertEqual([task], step.startable())
             self.assertEqual(2, step.next_run([task]))
@@ -255,6 +259,50 @@
 
         self.play(scene)
 
+    def test_an_unlogged_run_that_has_ended_counts(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            job = make_job(StepSpec(1))
+            step = shard.add(job)
+            key = RunKey(step.tasks[0].key, RunNumber(2))
+            shard.worker.end(key, RunEnding.DONE)
+            await shard.look()
+            self.assertIs(JobPhase.COMPLETED, job.phase)
+
+        self.play(scene)
+
+    def test_an_unlogged_run_replaces_the_one_that_was_logged(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            job = make_job(StepSpec(1, size=Size(500)))
+            task = shard.add(job).tasks[0]
+            gone = WorkerId('gone')
+            job.place(task, RunNumber(1), gone)
+            shard.state.unresolved_by_worker[gone] = [(task, task.run)]
+            key = RunKey(task.key, RunNumber(2))
+            shard.worker.active[key] = ActiveRun(key, '', 50)
+            await shard.look()
+            self.assertEqual(2, task.run)
+            shard.runs.give_up_worker(gone, 'test')
+            self.assertIs(TaskPhase.PLACED, task.phase)
+
+        self.play(scene)
+
+    def test_restored_work_waits_for_workers_not_heard_from(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            job = make_job(StepSpec(1))
+            job.restored = True
+            state = shard.state
+            self.assertFalse(state.may_be_running(job))
+            state.unlogged_until = time.monotonic() + 1
+            self.assertTrue(state.may_be_running(job))
+            state.workers_listed = True
+            self.assertFalse(state.may_be_running(job))
+            shard.books.session.fence_raised = False
+            self.assertTrue(state.may_be_running(job))
+            job.restored = False
+            self.assertFalse(state.may_be_running(job))
+
+        self.play(scene)
+
     def test_a_gang_that_lost_a_member_is_stopped(self) -> None:
         async def scene(shard: _Shard) -> None:
             step = shard.add(make_job(StepSpec(2, gang=True)))
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -137,6 +137,8 @@
         self.begun = False
         #: Whether the journal is known to have the job.
         self.accepted = False
+        #: Whether it was accepted by an earlier owner.
+        self.restored = False
         self._steps_by_round: dict[int, list[StepState]] = {}
 
     @property
@@ -216,9 +218,15 @@
         ending: RunEnding,
         checkpoint: str,
     ) -> None:
-        """Note how a run ended; runs that are not the latest are ignored."""
-        if task.phase is TaskPhase.DONE or run != task.run:
+        """Note how a run ended; runs older than the latest are ignored.
+
+        A newer run than is known was started by an earlier owner that could
+        not write it down.
+        """
+        if task.phase is TaskPhase.DONE or run < task.run:
             return
+        if run > task.run:
+            self.place(task, run, task.worker)
         if checkpoint:
             task.checkpoint = checkpoint
         if ending is RunEnding.DONE:
