--- /dev/null
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -0,0 +1,168 @@
+"""Tests of when a process takes the shard over, over a store in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from orchidrail.instance.ownership import Ownership
+from orchidrail.journal import JournalView
+from orchidrail.peers.pinger import Pinger
+from orchidrail.peers.table import PeerTable
+from orchidrail.peers.tests.test_table import make_member
+from orchidrail.shard.tests.test_owner import make_ports
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore, StoreFault
+from orchidrail.testing import AsyncTestCase, ScriptedTransport
+from orchidrail.types import Address, CallFailure, Epoch
+from orchidrail.wire.messages import Message, PeerState
+
+_SOON = 0.4
+_LOOK_EVERY = 0.02
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the test's own limit ends a wait in vain."""
+    while not condition():
+        await asyncio.sleep(_LOOK_EVERY)
+
+
+class _Process:
+    """One process's ownership, its peers reached through `by_address`."""
+
+    def __init__(
+        self,
+        name: str,
+        store: MemoryStore,
+        by_address: dict[Address, _Process],
+    ) -> None:
+        self.table = PeerTable(make_member(name), time.monotonic)
+        self.ownership = Ownership(
+            self.table,
+            JournalView(store, Topic('journal')),
+            time.monotonic,
+        )
+        self._by_address = by_address
+        transport = ScriptedTransport(self._answer)
+        self.pinger = Pinger(
+            self.table,
+            transport,
+            self.ownership.describe,
+            Random(1),
+        )
+        self.ownership.pinger = self.pinger
+        self.ownership.ports = make_ports(store)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def _answer(
+        self,
+        address: Address,
+        message: Message,
+    ) -> Message | CallFailure:
+        peer = self._by_address.get(address)
+        if peer is None or not isinstance(message, PeerState):
+            return CallFailure.NOT_SENT
+        peer.table.hear(message)
+        return peer.ownership.describe()
+
+    def start(self) -> None:
+        self._by_address[self.table.me.address] = self
+        self.tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self.ownership.run(),
+                self.pinger.ping_owner(),
+                self.pinger.ping_others(),
+            )
+        ]
+
+    def kill(self) -> None:
+        self._by_address.pop(self.table.me.address, None)
+        for task in self.tasks:
+            task.cancel()
+
+
+class OwnershipTest(AsyncTestCase):
+    def play(
+        self,
+        scene: Callable[[dict[str, _Process], MemoryStore], Awaitable[None]],
+    ) -> None:
+        """Run a scene with three processes."""
+
+        async def run() -> None:
+            store = MemoryStore()
+            by_address: dict[Address, _Process] = {}
+            by_name = {
+                name: _Process(name, store, by_address)
+                for name in ('a', 'b', 'c')
+            }
+            for process in by_name.values():
+                for other in by_name:
+                    process.table.learn_member(make_member(other))
+                process.start()
+            try:
+                await scene(by_name, store)
+            finally:
+                for process in by_name.values():
+                    process.kill()
+
+        self.run_async(run())
+
+    def owners(self, by_name: dict[str, _Process]) -> list[str]:
+        return [
+            name
+            for name, process in by_name.items()
+            if process.ownership.owner is not None
+        ]
+
+    def test_one_process_owns_and_all_know_it(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            owners = self.owners(by_name)
+            self.assertEqual(1, len(owners))
+            claims = {process.table.claim.name for process in by_name.values()}
+            self.assertEqual(set(owners), claims)
+
+        self.play(scene)
+
+    def test_a_dead_owner_is_replaced(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            first = self.owners(by_name)[0]
+            by_name.pop(first).kill()
+            await _until(lambda: bool(self.owners(by_name)))
+            owners = self.owners(by_name)
+            claim = by_name[owners[0]].table.claim
+            self.assertEqual(Epoch(2), claim.epoch)
+
+        self.play(scene)
+
+    def test_a_live_owner_is_left_alone_while_the_store_is_down(self) -> None:
+        async def scene(
+            by_name: dict[str, _Process],
+            store: MemoryStore,
+        ) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            before = self.owners(by_name)
+            store.fault = StoreFault.REFUSES
+            await asyncio.sleep(_SOON * 4)
+            store.fault = None
+            await asyncio.sleep(_SOON)
+            self.assertEqual(before, self.owners(by_name))
+
+        self.play(scene)
+
+    def test_a_peer_that_is_asked_takes_over(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            first = self.owners(by_name)[0]
+            other = next(name for name in by_name if name != first)
+            asked = by_name[other].ownership
+            asked.wanted_epoch = Epoch(1)
+            asked.hurry.set()
+            by_name[first].ownership.eligible = False
+            await _until(lambda: self.owners(by_name) == [other])
+
+        self.play(scene)
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -32,6 +32,23 @@
     return Advice({}, 0)
 
 
+def make_ports(store: MemoryStore) -> OwnerPorts:
+    """Return the ports of an owner without workers."""
+    return OwnerPorts(
+        worker_view=JournalView(store, Topic('workers')),
+        worker_calls=FakeWorker(),
+        decode_entry=lambda key, raw: Err(f'{key!r} {raw!r}'),
+        ask=_no_advice,
+        clock=time.monotonic,
+        wall_clock=time.time,
+        in_contact=lambda: True,
+        longest_lease=6,
+        stop_takes=0,
+        status_kept=120,
+        metrics=InstanceMetrics(),
+    )
+
+
 class OwnerTest(AsyncTestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -40,19 +57,7 @@
     async def take(self, epoch: int) -> ShardOwner:
         view = JournalView(self.store, Topic('journal'))
         writer = await take_over(view, _ME, time.monotonic, Epoch(epoch))
-        ports = OwnerPorts(
-            worker_view=JournalView(self.store, Topic('workers')),
-            worker_calls=FakeWorker(),
-            decode_entry=lambda key, raw: Err(f'{key!r} {raw!r}'),
-            ask=_no_advice,
-            clock=time.monotonic,
-            wall_clock=time.time,
-            in_contact=lambda: True,
-            longest_lease=6,
-            stop_takes=0,
-            status_kept=120,
-            metrics=InstanceMetrics(),
-        )
+        ports = make_ports(self.store)
         return ShardOwner(writer, ports, silent_for=0)
 
     def play(self, scene: Callable[[ShardOwner], Awaitable[None]]) -> None:
