Ask for a step's advice through several lanes; place a gang on the room kept for it

Cause: on the grown sites gangs waited for seconds while half of the room was free. A gang whose tickets had run out had its room kept, but the pass after the answer gave it to more urgent steps first. Change: a step asks about as many workers as its queue's approvals so far suggest, in parts through one lane for each six there are; cells of 6 or 7 machines ask as before. Room kept is placed on as soon as the tickets come. Both tests failed with the mechanism taken out.

--- a/orchidrail/shard/advice_desk.py
+++ b/orchidrail/shard/advice_desk.py
@@ -80,6 +80,11 @@
         self._lanes = sorted(lanes)
         self._deal()
 
+    @property
+    def lane_count(self) -> int:
+        """How many machines may be asked through."""
+        return len(self._lanes)
+
     async def ask(self, question: Question) -> Advice | None:
         """Return the advice, or None if it can't be had."""
         for _ in range(_TRIES):
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -121,8 +121,6 @@
         self._unsized = 0
         #: Whether the store still lists this life.
         self.listed = True
-        #: Grows whenever room is freed or the standing changes.
-        self.changes = 0
 
     @property
     def worker(self) -> WorkerId:
@@ -171,7 +169,6 @@
             self.count_by_role[role_of(run.task.step.spec)] -= 1
         if not self.count_by_step[step_key]:
             self.count_by_step.pop(step_key)
-        self.changes += 1
         return run
 
     def hold(self, step_key: str, size: Size) -> None:
@@ -179,12 +176,13 @@
         self.free -= size
         self.held_by_step[step_key] = size
 
-    def unhold(self, step_key: str) -> None:
-        """Give back the room that was kept for a step."""
+    def unhold(self, step_key: str) -> bool:
+        """Give back the room that was kept for a step; tell if there was."""
         size = self.held_by_step.pop(step_key, None)
-        if size is not None:
-            self.free += size
-            self.changes += 1
+        if size is None:
+            return False
+        self.free += size
+        return True
 
     def bears(self, spec: StepSpec) -> bool:
         """Whether a step's tasks get on with what runs here."""
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -123,7 +123,6 @@
                 state=entry.state.value,
                 leaves_in=entry.leaves_in,
             )
-            books.changes += 1
             self._state.wanted.set()
         books.entry = entry
 
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import defaultdict
 
 import structlog
 
 from orchidrail.shard.advice_desk import AdviceDesk, Question
+from orchidrail.shard.approvals import Approvals
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.placing import Placement, choose_workers, suits
 from orchidrail.shard.ranking import Rank, rank_step
@@ -16,6 +18,7 @@
 from orchidrail.types import JobId, Seconds, WorkerId
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import Size
+from orchidrail.workers.port import Advice
 
 _log = structlog.get_logger()
 #: Least time between two passes.
@@ -24,6 +27,11 @@
 _LOOK_EVERY: Seconds = 0.1
 #: Most workers asked about in one call.
 _ASKED_AT_ONCE = 30
+#: Fewer workers in one call make it hardly shorter: what a call takes for
+#: itself is that of about 70 workers on the users' sites.
+_LEAST_PART = 12
+#: A step asks through one more lane for each so many that there are.
+_LANES_FOR_PART = 6
 #: A ticket must hold for this long to be used: the start must get there.
 _TICKET_MARGIN: Seconds = 0.15
 #: Steps that wait with room kept free for them, most urgent first.
@@ -54,6 +62,7 @@
         self._state = state
         self._runs = runs
         self._desk = desk
+        self._approvals = Approvals()
         self._steps_by_job: dict[JobId, list[StepState]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -82,7 +91,6 @@
             (rank_step(step, wall), step)
             for steps in self._steps_by_job.values()
             for step in steps
-            if not step.permits.asking
         ]
         ranked.sort(key=lambda pair: pair[0])
         open_books = [
@@ -187,16 +195,33 @@
         chosen = choose_workers(step, tasks, good)
         if chosen:
             self._launch_or_renew(rank, step, chosen, now)
-        if len(chosen) == len(tasks) or step.permits.asking:
+        if len(chosen) == len(tasks):
             return set()
-        unknown = [
-            books for books in usable if books.worker not in good_by_worker
-        ]
-        if unknown:
-            unknown.sort(key=lambda books: -books.free.millicores)
-            self._ask(rank, step, unknown[:_ASKED_AT_ONCE])
+        if not step.permits.asking:
+            self._ask_for_more(rank, step, len(tasks) - len(chosen), usable)
         return self._earmark(step, tasks, chosen, good)
 
+    def _ask_for_more(
+        self,
+        rank: Rank,
+        step: StepState,
+        missing: int,
+        usable: list[WorkerBooks],
+    ) -> None:
+        """Ask about workers of which nothing is known, the emptiest first."""
+        known = step.permits.good_by_worker
+        unknown = [books for books in usable if books.worker not in known]
+        if not unknown:
+            return
+        unknown.sort(key=lambda books: -books.free.millicores)
+        copies = max(1, step.spec.charged.times_in(unknown[0].free))
+        useful = self._approvals.needed(step.job.queue.name, missing / copies)
+        lanes = self._desk.lane_count
+        most = _ASKED_AT_ONCE * max(1, lanes // _LANES_FOR_PART)
+        about = unknown[: min(most, max(_ASKED_AT_ONCE, useful))]
+        for part in _split(about, lanes):
+            self._ask(rank, step, part)
+
     def _launch_or_renew(
         self,
         rank: Rank,
@@ -216,7 +241,7 @@
         if ready:
             self._runs.launch(step, ready)
         stale = [placement for placement in chosen if placement not in ready]
-        if stale:
+        if stale and not step.permits.asking:
             self._renew(rank, step, stale)
 
     def _earmark(
@@ -260,7 +285,7 @@
         step: StepState,
         about: list[WorkerBooks],
     ) -> None:
-        step.permits.asking = True
+        step.permits.asking += 1
         task = asyncio.create_task(self._ask_about(rank, step, about))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -281,17 +306,59 @@
             if advice is None:
                 await asyncio.sleep(_ADVICE_PAUSE)
             else:
-                step.permits.learn(
-                    workers,
-                    advice.ticket_by_worker,
-                    self._state.clock() + advice.valid,
-                )
+                self._learn(step, workers, advice)
         finally:
-            step.permits.asking = False
-            for books in about:
-                books.unhold(step.key)
+            step.permits.asking -= 1
+            held = [books for books in about if books.unhold(step.key)]
+            self._place_held(step, held)
             self._state.wanted.set()
 
+    def _learn(
+        self,
+        step: StepState,
+        workers: list[WorkerId],
+        advice: Advice,
+    ) -> None:
+        known = step.permits.good_by_worker
+        fresh = [worker for worker in workers if worker not in known]
+        good = sum(worker in advice.ticket_by_worker for worker in fresh)
+        self._approvals.note(step.job.queue.name, good, len(fresh))
+        until = self._state.clock() + advice.valid
+        step.permits.learn(workers, advice.ticket_by_worker, until)
+
+    def _place_held(self, step: StepState, held: list[WorkerBooks]) -> None:
+        """Place on room that was kept, before a pass gives it to others.
+
+        A wide gang would otherwise lose part of it each time, and its other
+        tickets would run out meanwhile.
+        """
+        now = self._state.clock()
+        until = now + _TICKET_MARGIN
+        usable = [
+            books
+            for books in held
+            if books.open(now)
+            and step.permits.fresh(books.worker, until)
+            and step.permits.good_by_worker.get(books.worker)
+        ]
+        tasks = step.startable()
+        if not usable or not tasks or self._state.may_be_running(step.job):
+            return
+        if step.job.ended:
+            return
+        chosen = choose_workers(step, tasks, usable)
+        if chosen:
+            self._runs.launch(step, chosen)
+
+
+def _split(
+    about: list[WorkerBooks],
+    lanes: int,
+) -> list[list[WorkerBooks]]:
+    """Deal workers out to several calls, if there are lanes for them."""
+    parts = min(math.ceil(len(about) / _LEAST_PART), lanes // _LANES_FOR_PART)
+    return [about[first::parts] for first in range(parts)] if parts else [about]
+
 
 def _spare(step: StepState, usable: list[WorkerBooks]) -> list[WorkerBooks]:
     """Leave out the workers that failed the step, unless no other is good."""
--- /dev/null
+++ b/orchidrail/shard/tests/test_placer.py
@@ -0,0 +1,176 @@
+"""Tests of the pass that places, beside a real journal and fake workers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from orchidrail.journal import JournalView, JournalWriter
+from orchidrail.journal.writer import take_over
+from orchidrail.metrics import InstanceMetrics
+from orchidrail.shard.advice_desk import AdviceDesk
+from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.placer import Placer
+from orchidrail.shard.runs import RunTracker
+from orchidrail.shard.state import ShardState
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import (
+    Address,
+    Epoch,
+    InstanceId,
+    JobId,
+    Seconds,
+    WorkerId,
+)
+from orchidrail.work.job import Job
+from orchidrail.work.model import AdviceCost, MemberInfo, Size, StepSpec
+from orchidrail.work.records import TaskPhase
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.lease import RunLease
+from orchidrail.workers.port import Advice
+from orchidrail.workers.session import WorkerSession
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+
+_ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
+_COST = AdviceCost(0.5, 0.007, 1.5)
+_SOON = 0.05
+
+
+def _make_job(name: str, spec: StepSpec, priority: int, advice: bool) -> Job:
+    job = make_job(spec)
+    queue = msgspec.structs.replace(
+        job.queue,
+        priority=priority,
+        advice=_COST if advice else None,
+    )
+    record = msgspec.structs.replace(
+        job.record,
+        queue=queue,
+        accepted_at=time.time(),
+    )
+    return Job(JobId(name), record)
+
+
+class _Scene:
+    """Some workers, a placer, and questions that the test answers."""
+
+    def __init__(self, writer: JournalWriter) -> None:
+        self.state = ShardState(
+            writer,
+            time.monotonic,
+            time.time,
+            InstanceMetrics(),
+        )
+        self.runs = RunTracker(self.state, lambda: None, lambda: False, 0)
+        self.desk = AdviceDesk(self._ask, time.monotonic)
+        self.placer = Placer(self.state, self.runs, self.desk)
+        self.questions: list[tuple[list[WorkerId], asyncio.Future[Advice]]] = []
+
+    async def _ask(
+        self,
+        lane: InstanceId,
+        step_key: str,
+        workers: list[WorkerId],
+        timeout: Seconds,
+    ) -> Advice:
+        answer: asyncio.Future[Advice] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.questions.append((workers, answer))
+        return await answer
+
+    async def add_worker(self, name: str) -> None:
+        session = WorkerSession(
+            make_entry(name),
+            FakeWorker(),
+            self.state.writer.owner.epoch,
+            RunLease(6, 0),
+            self.runs,
+            time.monotonic,
+            lambda: True,
+        )
+        books = WorkerBooks(session)
+        self.state.books_by_worker[session.worker] = books
+        await session._look()
+
+    def add(self, job: Job) -> None:
+        self.state.job_by_id[job.job_id] = job
+        self.state.note_change(job)
+
+    async def answer(self, number: int, valid: Seconds) -> None:
+        """Approve of all that a question names."""
+        workers, answer = self.questions[number]
+        answer.set_result(Advice(dict.fromkeys(workers, 'ticket'), valid))
+        await asyncio.sleep(_SOON)
+
+
+class PlacerTest(AsyncTestCase):
+    def play(self, scene: Callable[[_Scene], Awaitable[None]]) -> None:
+        """Run a scene beside the journal's writer and the placer."""
+
+        async def run() -> None:
+            view = JournalView(MemoryStore(), Topic('journal'))
+            writer = await take_over(view, _ME, time.monotonic, Epoch(0))
+            setting = _Scene(writer)
+            tasks = [
+                asyncio.create_task(work)
+                for work in (writer.run(), setting.placer.run())
+            ]
+            try:
+                await scene(setting)
+            finally:
+                setting.placer.close()
+                setting.runs.close()
+                for task in tasks:
+                    task.cancel()
+
+        self.run_async(run())
+
+    def test_room_kept_for_a_gang_goes_to_it_when_its_tickets_come(
+        self,
+    ) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            shard.desk.use_lanes([InstanceId('lane')])
+            gang = _make_job(
+                'a' * 16,
+                StepSpec(2, Size(20_000, 1), gang=True),
+                1,
+                advice=True,
+            )
+            shard.add(gang)
+            await asyncio.sleep(_SOON)
+            # The tickets run out at once, so they are asked for again.
+            await shard.answer(0, valid=0)
+            self.assertEqual(2, len(shard.questions))
+            urgent = _make_job(
+                'b' * 16,
+                StepSpec(1, Size(30_000, 1)),
+                0,
+                advice=False,
+            )
+            shard.add(urgent)
+            await asyncio.sleep(_SOON)
+            await shard.answer(1, valid=1.5)
+            phases = {task.phase for task in gang.steps(0)[0].tasks}
+            self.assertEqual({TaskPhase.PLACED}, phases)
+
+        self.play(scene)
+
+    def test_a_step_asks_through_several_lanes_if_there_are_many(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            for number in range(24):
+                await shard.add_worker(f'w-{number}')
+            shard.desk.use_lanes([InstanceId(f'l-{n}') for n in range(12)])
+            spec = StepSpec(2, Size(20_000, 1), gang=True)
+            shard.add(_make_job('a' * 16, spec, 1, advice=True))
+            await asyncio.sleep(_SOON)
+            asked = [len(workers) for workers, _ in shard.questions]
+            self.assertEqual([12, 12], asked)
+
+        self.play(scene)
--- a/orchidrail/work/permits.py
+++ b/orchidrail/work/permits.py
@@ -16,8 +16,8 @@
         self.good_by_worker: dict[WorkerId, bool] = {}
         self.ticket_by_worker: dict[WorkerId, str] = {}
         self.valid_until_by_worker: dict[WorkerId, Seconds] = {}
-        self.asking = False
-        self.asked_at: Seconds = 0
+        #: Calls about the step that are under way.
+        self.asking = 0
 
     def learn(
         self,
