Take over only from an owner that writes no more; relay through peers that reach the store

Change: processes tell whether the store answers them; calls are relayed by such peers only, without waiting for a way that was silent, which reads probe beside. An owner that reaches the store but hears nobody lets go. Each of the three tests of ownership fails with its mechanism taken out.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -13,6 +13,7 @@
 
 from orchidrail.ingress.desk import JobDesk
 from orchidrail.instance.config_follower import ConfigFollower
+from orchidrail.instance.hand_over import HandOverDesk
 from orchidrail.instance.ownership import Ownership
 from orchidrail.instance.peer_service import PeerService
 from orchidrail.instance.settings import InstanceSettings
@@ -33,15 +34,18 @@
 from orchidrail.platform.worker_calls import PlatformAdvice, PlatformWorkers
 from orchidrail.shard.owner import OwnerPorts
 from orchidrail.store import Topic
-from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
+from orchidrail.store.relay import (
+    DIRECT_TIMEOUT,
+    RawAnswer,
+    RawCall,
+    RelayedCaller,
+)
 from orchidrail.types import InstanceId, Seconds, WorkerId
 from orchidrail.wire.messages import (
-    Ack,
     AdviceGiven,
     AskAdvice,
     RelayAnswer,
     RelayCall,
-    TakeOver,
 )
 from orchidrail.wire.transport import MessageServer, TcpTransport
 from orchidrail.work.model import MemberInfo
@@ -52,9 +56,6 @@
 _NO_KEY = ''
 #: Time that a relayed call may take beyond its own patience.
 _RELAY_SLACK: Seconds = 0.1
-#: Wait for a peer that was asked to take over; with a slow store that takes
-#: a read and an append of 0.3 s each.
-_TAKE_OVER_WITHIN: Seconds = 1.0
 
 
 class InstanceDaemon:
@@ -76,16 +77,16 @@
             settings.peers,
             settings.zone,
             uuid.uuid4().hex,
+            settings.speed,
         )
         self.table = PeerTable(self.me, time.monotonic)
-        self._store = PlatformLog(
-            RelayedCaller(
-                self._call_store,
-                self._relay,
-                time.monotonic,
-                self._note_store_call,
-            )
+        self._store_caller = RelayedCaller(
+            self._call_store,
+            self._relay,
+            time.monotonic,
+            self._note_store_call,
         )
+        self._store = PlatformLog(self._store_caller)
         self._journal = JournalView(self._store, Topic(JOURNAL_NAME))
         self.ownership = Ownership(self.table, self._journal, time.monotonic)
         self._pinger = Pinger(
@@ -93,12 +94,19 @@
             self._transport,
             self.ownership.describe,
             random.Random(),
+            time.monotonic,
         )
         self._advice = PlatformAdvice(
             self._caller,
             lambda: self.settings.advice,
         )
         self.ownership.pinger = self._pinger
+        self._hand_over = HandOverDesk(
+            self._transport,
+            lambda: self.ownership.owner,
+        )
+        self.ownership.store_answers = self._store_caller.direct_answers
+        self.ownership.hand_over = self._hand_over.give_to
         self.ownership.ports = self._owner_ports()
         self._service = PeerService(
             self.table,
@@ -177,22 +185,8 @@
         """
         self.stopping = True
         self.ownership.eligible = False
-        owner = self.ownership.owner
-        if owner is None:
-            return
-        epoch = owner.writer.owner.epoch
-        _log.info('handing over', epoch=epoch)
-        for peer in self.table.heard():
-            outcome = await self._transport.call(
-                peer.address,
-                TakeOver(epoch=epoch),
-                _TAKE_OVER_WITHIN,
-            )
-            if outcome != Ok(Ack()):
-                continue
-            if await _set_within(owner.writer.fenced, _TAKE_OVER_WITHIN):
-                return
-        _log.warning('nobody took over', epoch=epoch)
+        peers = sorted(self.table.heard(), key=lambda peer: -peer.speed)
+        await self._hand_over.give_to(peers)
 
     def _owner_ports(self) -> OwnerPorts:
         return OwnerPorts(
@@ -216,22 +210,22 @@
         return await self._caller.call(self.settings.store, call)
 
     async def _relay(self, call: RawCall) -> RawAnswer:
-        """Make a call through a peer, of another zone if there is one."""
-        heard = self.table.heard()
-        if not heard:
+        """Make a call through a peer that reaches the store."""
+        helpers = self.table.heard_with_store()
+        if not helpers:
             return RawAnswer(0, b'no peer', reached=False)
-        far = [member for member in heard if member.zone != self.me.zone]
-        peer = random.choice(far or heard)
+        peer = random.choice(helpers)
+        patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
         outcome = await self._transport.call(
             peer.address,
             RelayCall(
                 method=call.method,
                 target=call.target,
                 body=call.body,
-                timeout=call.timeout,
+                timeout=patience,
                 waits=call.waits,
             ),
-            call.timeout + _RELAY_SLACK,
+            patience + _RELAY_SLACK,
         )
         if not isinstance(outcome, Ok):
             return RawAnswer(0, outcome.err_value.value.encode())
@@ -272,14 +266,6 @@
         return Advice(tickets, given.valid)
 
 
-async def _set_within(event: asyncio.Event, seconds: Seconds) -> bool:
-    try:
-        await asyncio.wait_for(event.wait(), seconds)
-    except TimeoutError:
-        return False
-    return True
-
-
 def _log_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _log.error('part failed', exc_info=task.exception())
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import structlog
 import xxhash
@@ -16,6 +16,7 @@
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
 from orchidrail.types import Epoch, Seconds
 from orchidrail.wire.messages import PeerState
+from orchidrail.work.model import MemberInfo
 
 _log = structlog.get_logger()
 #: How often the owner's state is judged.
@@ -25,12 +26,36 @@
 #: Silence after which the owner counts as dead; a paused process is far
 #: longer silent, a busy one shorter.
 _SILENT_FOR: Seconds = 0.6
-#: Failed calls in a row after which a reachable machine has no owner.
-_FAILED_CALLS = 3
+#: Denials in a row after which a reachable machine has no owner.
+_DENIALS = 3
+#: Silence after which the journal is watched for signs of the owner.
+_WATCH_AFTER: Seconds = 0.25
+#: An owner writes each `CONFIRM_EVERY` (0.2 s) or more often, which takes 6 ms:
+#: a journal that stood still for this long has no owner that can write.
+_STILL_FOR: Seconds = 0.3
+#: Processes that follow the journal, to take over at once; more would only
+#: read the same bytes, which have a price.
+_STANDBYS = 5
+#: Silence of the owner after which the others follow the journal too.
+_STANDBYS_FAILED_AFTER: Seconds = 2.5
+#: Wait at the first start, in which the processes meet (they start within
+#: 0.3 s), so that the strongest owns.
+_MEET_FOR: Seconds = 0.6
+#: An owner that hears nobody for this long, but reaches the store, lets
+#: another own: its callers can't be those of the other machines.
+_LONELY_AFTER: Seconds = 0.8
+#: Rest of an owner that let go, in which another takes over.
+_LET_GO_FOR: Seconds = 1.5
+#: A peer that is stronger by this factor is given the shard, once it was
+#: heard for a while in calm times.
+_STRONGER = 1.5
+_STRONGER_FOR: Seconds = 3.0
 #: Wait between the candidates, so that one of them is first.
 _TURN: Seconds = 0.15
 _MOST_TURNS = 6
 
+HandOver = Callable[[list[MemberInfo]], Awaitable[bool]]
+
 
 class Ownership:
     """Follows the journal and takes it over when its owner is gone.
@@ -57,13 +82,25 @@
         #: Cleared when this process is about to stop.
         self.eligible = True
         self.pinger: Pinger | None = None
+        #: Gives the shard to a peer; tells whether that one has it.
+        self.hand_over: HandOver | None = None
+        #: Whether this machine's own calls to the store are answered.
+        self.store_answers: Callable[[], bool] = _unknown
         self.ports: OwnerPorts | None = None
         self._table = table
         self._view = view
         self._clock = clock
+        self._started_at = clock()
         self._read_at: Seconds = -READ_EVERY
         #: The journal's newest record was not there yet at this time.
         self._moved_after: Seconds = -math.inf
+        #: When the journal was first read as it was read last; infinite
+        #: before a read has succeeded.
+        self._still_since: Seconds = math.inf
+        self._rests_until: Seconds = -math.inf
+        #: Whether a peer was heard since this process let go last.
+        self._met_since = True
+        self._stronger_since: Seconds = math.inf
 
     def describe(self) -> PeerState:
         """Return what this process tells its peers."""
@@ -76,6 +113,8 @@
             address=me.address,
             zone=me.zone,
             incarnation=me.incarnation,
+            speed=me.speed,
+            store_answers=self.store_answers(),
             epoch=claim.epoch,
             owner=claim.name,
             owner_address=claim.address,
@@ -102,16 +141,40 @@
         try:
             await asyncio.wait_for(self.hurry.wait(), _JUDGE_EVERY)
         except (TimeoutError, asyncio.TimeoutError):
-            if self._clock() - self._read_at < READ_EVERY:
+            if not self._read_is_due():
                 return
         await self._read()
 
+    def _read_is_due(self) -> bool:
+        if self._watching():
+            return self._stands_by() or self._standbys_failed()
+        if self._clock() - self._read_at < READ_EVERY:
+            return False
+        return self._stands_by() or not self._table.claim.epoch
+
+    def _watching(self) -> bool:
+        """Whether the owner may be gone."""
+        assert self.pinger is not None
+        silent = self._table.owner_silent_for() > _WATCH_AFTER
+        return silent or self.pinger.owner_denials > 0
+
+    def _stands_by(self) -> bool:
+        return self._better(by_epoch=False) < _STANDBYS
+
+    def _standbys_failed(self) -> bool:
+        return self._table.owner_silent_for() > _STANDBYS_FAILED_AFTER
+
     async def _read(self) -> bool:
         before, self._read_at = self._read_at, self._clock()
         end = self._view.end
         read = await self._view.catch_up()
-        if end is not None and self._view.end != end:
+        moved = self._view.end != end
+        if end is not None and moved:
             self._moved_after = before
+        if not read:
+            self._still_since = math.inf
+        elif moved or self._still_since == math.inf:
+            self._still_since = self._read_at
         owner = current_owner(self._view)
         if owner is not None:
             self._table.learn_claim(
@@ -124,12 +187,18 @@
         if self.hurry.is_set():
             self.hurry.clear()
             return self.wanted_epoch >= claim.epoch
-        if not claim.address or claim.name == self._table.me.name:
-            return self._view.end is not None
+        if self._view.end is None or self._clock() < self._rests_until:
+            return False
+        if not claim.address:
+            return self._clock() - self._started_at > _MEET_FOR
+        if claim.name == self._table.me.name:
+            return True
+        if self._read_at - self._still_since < _STILL_FOR:
+            return False
         if self._table.owner_silent_for() > _SILENT_FOR:
             return True
         assert self.pinger is not None
-        return self.pinger.owner_failures >= _FAILED_CALLS
+        return self.pinger.owner_denials >= _DENIALS
 
     async def _try_to_own(self) -> None:
         epoch = self._table.claim.epoch
@@ -166,7 +235,7 @@
         self.owner = owner
         assert self.pinger is not None
         self.pinger.ping_all()
-        lanes = asyncio.create_task(self._keep_lanes(owner))
+        lanes = asyncio.create_task(self._watch_peers(owner))
         _log.info('shard taken over', epoch=epoch)
         try:
             await owner.run()
@@ -176,24 +245,61 @@
         # Another may have written: look who, before anything else.
         await self._read()
 
-    async def _keep_lanes(self, owner: ShardOwner) -> None:
-        """Ask for advice through this machine and all that are heard."""
+    async def _watch_peers(self, owner: ShardOwner) -> None:
+        """Ask for advice through all that are heard; let go if need be."""
         while True:
             heard = [member.name for member in self._table.heard()]
             owner.use_lanes([self._table.me.name, *heard])
+            self._let_go_if_lonely(owner)
+            await self._give_to_stronger()
             await asyncio.sleep(_JUDGE_EVERY)
 
+    def _let_go_if_lonely(self, owner: ShardOwner) -> None:
+        if self._table.heard(_LONELY_AFTER):
+            self._met_since = True
+            return
+        confirmed = owner.writer.unconfirmed_for() < _STILL_FOR
+        if self._met_since and confirmed and self._table.peers():
+            _log.warning('nobody heard, letting go')
+            self._met_since = False
+            self._rests_until = self._clock() + _LET_GO_FOR
+            owner.resign()
+
+    async def _give_to_stronger(self) -> None:
+        """Hand over to a machine on which decisions take far less time."""
+        least = self._table.me.speed * _STRONGER
+        strong = [peer for peer in self._table.heard() if peer.speed >= least]
+        now = self._clock()
+        if not strong:
+            self._stronger_since = math.inf
+            return
+        self._stronger_since = min(self._stronger_since, now)
+        if now - self._stronger_since < _STRONGER_FOR:
+            return
+        self._stronger_since = math.inf
+        if self.hand_over is not None:
+            await self.hand_over(strong[:1])
+
     def _turn(self) -> int:
         """Return how many candidates go before this process."""
+        return min(self._better(by_epoch=True), _MOST_TURNS)
+
+    def _better(self, *, by_epoch: bool) -> int:
+        """Count the candidates that suit better: stronger, then by hash."""
         claim = self._table.claim
+        salt = claim.epoch if by_epoch else 0
 
-        def weight(name: str) -> int:
-            return xxhash.xxh64_intdigest(f'{name}/{claim.epoch}'.encode())
+        def place(member: MemberInfo) -> tuple[float, int]:
+            digest = xxhash.xxh64_intdigest(f'{member.name}/{salt}'.encode())
+            return -member.speed, digest
 
-        mine = weight(self._table.me.name)
-        before = sum(
+        mine = place(self._table.me)
+        return sum(
             1
             for member in self._table.heard()
-            if member.name != claim.name and weight(member.name) < mine
+            if member.name != claim.name and place(member) < mine
         )
-        return min(before, _MOST_TURNS)
+
+
+def _unknown() -> bool:
+    return False
--- a/orchidrail/instance/settings.py
+++ b/orchidrail/instance/settings.py
@@ -46,4 +46,6 @@
     metrics: Address
     store: Address
     advice: Address = Address('')
+    #: Processor of the machine, in cores.
+    speed: float = 1
     bounds: Bounds = Bounds()
--- a/orchidrail/instance/tests/test_ownership.py
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -7,6 +7,9 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+import msgspec
+
+from orchidrail.instance import ownership
 from orchidrail.instance.ownership import Ownership
 from orchidrail.journal import JournalView
 from orchidrail.peers.pinger import Pinger
@@ -18,6 +21,7 @@
 from orchidrail.testing import AsyncTestCase, ScriptedTransport
 from orchidrail.types import Address, CallFailure, Epoch
 from orchidrail.wire.messages import Message, PeerState
+from orchidrail.work.model import MemberInfo
 
 _SOON = 0.4
 _LOOK_EVERY = 0.02
@@ -51,9 +55,13 @@
             transport,
             self.ownership.describe,
             Random(1),
+            time.monotonic,
         )
         self.ownership.pinger = self.pinger
         self.ownership.ports = make_ports(store)
+        self.ownership.hand_over = self._ask_to_take
+        self.refuses = False
+        self.cut_off = False
         self.tasks: list[asyncio.Task[None]] = []
 
     def _answer(
@@ -64,9 +72,17 @@
         peer = self._by_address.get(address)
         if peer is None or not isinstance(message, PeerState):
             return CallFailure.NOT_SENT
+        if peer.refuses or peer.cut_off or self.cut_off:
+            return CallFailure.NOT_SENT
         peer.table.hear(message)
         return peer.ownership.describe()
 
+    async def _ask_to_take(self, peers: list[MemberInfo]) -> bool:
+        asked = self._by_address[peers[0].address].ownership
+        asked.wanted_epoch = self.table.claim.epoch
+        asked.hurry.set()
+        return True
+
     def start(self) -> None:
         self._by_address[self.table.me.address] = self
         self.tasks = [
@@ -161,6 +177,43 @@
 
         self.play(scene)
 
+    def test_an_owner_that_writes_is_left_alone_by_one_that_misses_it(
+        self,
+    ) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            before = self.owners(by_name)
+            owner = by_name[before[0]]
+            owner.refuses = True
+            await asyncio.sleep(_SOON * 4)
+            self.assertEqual(before, self.owners(by_name))
+
+        self.play(scene)
+
+    def test_an_owner_that_hears_nobody_lets_another_own(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            first = self.owners(by_name)[0]
+            await asyncio.sleep(_SOON)
+            by_name[first].cut_off = True
+            await _until(
+                lambda: self.owners(by_name) not in ([], [first]),
+            )
+
+        self.play(scene)
+
+    def test_a_stronger_machine_is_given_the_shard(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            first = self.owners(by_name)[0]
+            other = next(name for name in by_name if name != first)
+            strong = by_name[other].table
+            strong.me = msgspec.structs.replace(strong.me, speed=4)
+            await _until(lambda: self.owners(by_name) == [other])
+
+        self.patch(ownership, '_STRONGER_FOR', 0.2)
+        self.play(scene)
+
     def test_a_peer_that_is_asked_takes_over(self) -> None:
         async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
             await _until(lambda: bool(self.owners(by_name)))
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -35,7 +35,7 @@
 #: Least time between two appends: each call has a price, each wait delays.
 _PACE: Seconds = 0.008
 #: An owner writes at least this often, so that it knows that it still owns.
-CONFIRM_EVERY: Seconds = 0.4
+CONFIRM_EVERY: Seconds = 0.2
 #: Most bytes of values put into one append; the store takes 2 MB in a call.
 _BATCH_BYTES = 1_000_000
 
--- a/orchidrail/peers/pinger.py
+++ b/orchidrail/peers/pinger.py
@@ -20,6 +20,9 @@
 _OTHERS_EVERY: Seconds = 0.25
 _OTHERS_AT_ONCE = 3
 _TIMEOUT: Seconds = 0.6
+#: A call that fails sooner was refused or reset: the machine is there, but
+#: not the process. Silence takes until the time-out.
+_REFUSED_WITHIN: Seconds = 0.3
 
 
 class Pinger:
@@ -32,6 +35,8 @@
     describe : callable
         Returns what this process tells of itself.
     random : Random
+    clock : callable
+        Monotonic seconds.
     """
 
     def __init__(
@@ -40,15 +45,17 @@
         transport: Transport,
         describe: Callable[[], PeerState],
         random: Random,
+        clock: Callable[[], Seconds],
     ) -> None:
         """Start silent."""
+        self._clock = clock
         self._table = table
         self._transport = transport
         self._describe = describe
         self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
-        #: Calls to the owner that failed one after another.
-        self.owner_failures = 0
+        #: Answers one after another that nobody owns the shard there.
+        self.owner_denials = 0
 
     async def ping_owner(self) -> None:
         """Speak to the owner again and again."""
@@ -89,6 +96,7 @@
 
     async def _ping_owner_once(self) -> None:
         claim = self._table.claim
+        began = self._clock()
         outcome = await self._transport.call(
             claim.address,
             self._describe(),
@@ -96,14 +104,12 @@
         )
         if self._table.claim != claim:
             return
-        owning = (
-            isinstance(outcome, Ok)
-            and isinstance(outcome.ok_value, PeerState)
-            and outcome.ok_value.owning
-        )
-        self.owner_failures = 0 if owning else self.owner_failures + 1
         if isinstance(outcome, Ok) and isinstance(outcome.ok_value, PeerState):
+            owning = outcome.ok_value.owning
+            self.owner_denials = 0 if owning else self.owner_denials + 1
             self._table.hear(outcome.ok_value)
+        elif self._clock() - began < _REFUSED_WITHIN:
+            self.owner_denials += 1
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -27,6 +27,8 @@
     member: MemberInfo
     heard_at: Seconds
     met_at: Seconds
+    #: Whether its own calls to the store were answered when it spoke last.
+    store_answers: bool = False
 
 
 class OwnerClaim(msgspec.Struct, frozen=True):
@@ -76,12 +78,14 @@
             state.address,
             state.zone,
             state.incarnation,
+            state.speed,
         )
         known = self._peer_by_name.get(state.name)
         if known is None or known.member != member:
             self._peer_by_name[state.name] = KnownPeer(member, now, now)
         else:
             known.heard_at = now
+        self._peer_by_name[state.name].store_answers = state.store_answers
         self.learn_claim(
             OwnerClaim(state.epoch, state.owner, state.owner_address)
         )
@@ -122,6 +126,15 @@
             if now - known.heard_at < within
         ]
 
+    def heard_with_store(self) -> list[MemberInfo]:
+        """Return the peers heard from lately that reach the store."""
+        now = self._clock()
+        return [
+            known.member
+            for known in self._peer_by_name.values()
+            if known.store_answers and now - known.heard_at < HEARD_FOR
+        ]
+
     def owner_silent_for(self) -> Seconds:
         """Return for how long the owner has not been heard."""
         return self._clock() - self.owner_heard_at
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -220,10 +220,20 @@
         metrics=Address(f'{host}:{METRICS_PORT}'),
         store=Address(value_by_key['platform.address']),
         advice=Address(value_by_key.get('advice', '')),
+        speed=_speed(value_by_key),
         bounds=_bounds(value_by_key),
     )
 
 
+def _speed(value_by_key: dict[str, str]) -> float:
+    """Return the machine's processor in cores.
+
+    It is the named share of one core that is as fast as all of them together.
+    """
+    share = float(value_by_key.get('limits.cpuShare') or 1)
+    return share * float(value_by_key.get('limits.cpuCores') or 1)
+
+
 def _bounds(value_by_key: dict[str, str]) -> Bounds:
     given = {
         name: float(value_by_key[f'bounds.{key}']) / divisor
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -18,8 +20,13 @@
 #: then down for all, and each call has a price. It is tried directly, so that
 #: its return is noticed at once.
 _AVOID_RELAY: Seconds = 1.0
+#: A direct answer tells for this long that the store is reached; each process
+#: calls at least once in a second.
+_ANSWERS_FOR: Seconds = 1.5
+#: While the direct way is silent, one call in this time tries it as well.
+_PROBE_EVERY: Seconds = 0.7
 #: Wait for a direct answer; a slow store takes up to 0.3 s on the sites.
-_DIRECT_TIMEOUT: Seconds = 0.5
+DIRECT_TIMEOUT: Seconds = 0.5
 
 
 class RawCall(NamedTuple):
@@ -95,12 +102,25 @@
         self._clock = clock
         self._avoid_direct_until: Seconds = 0
         self._avoid_relay_until: Seconds = 0
+        self._answered_at: Seconds = -math.inf
+        #: Whether the latest direct call got no answer at all.
+        self._silent = False
+        self._probe_at: Seconds = 0
+        self._probes: set[asyncio.Task[RawAnswer]] = set()
         self.lost = False
 
+    def direct_answers(self) -> bool:
+        """Whether the store answers this machine itself."""
+        if self._silent or self._clock() < self._avoid_direct_until:
+            return False
+        return self._clock() - self._answered_at < _ANSWERS_FOR
+
     async def __call__(self, call: RawCall) -> RawAnswer:
         """Make a call by the way that works."""
         answer = RawAnswer(0, reached=False)
         if self._clock() >= self._avoid_direct_until:
+            if self._silent:
+                return await self._call_silent(call)
             answer = await self._call_directly(call)
             if answer.usable:
                 return answer
@@ -108,10 +128,29 @@
             return answer
         return await self._call_relay(call, answer)
 
+    async def _call_silent(self, call: RawCall) -> RawAnswer:
+        """Go through a peer, and try the silent direct way beside it.
+
+        Waiting for the direct way first would hold up each call in turn.
+        """
+        if call.method == 'GET' and self._clock() >= self._probe_at:
+            self._probe_at = self._clock() + _PROBE_EVERY
+            probe = asyncio.ensure_future(self._call_directly(call))
+            self._probes.add(probe)
+            probe.add_done_callback(self._probes.discard)
+        relayed = await self._relay(call)
+        self._note('relay', relayed.status)
+        if relayed.usable:
+            return relayed
+        return await self._call_directly(call)
+
     async def _call_directly(self, call: RawCall) -> RawAnswer:
-        patience = min(call.timeout, _DIRECT_TIMEOUT + call.waits)
+        patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
         answer = await self._direct(call._replace(timeout=patience))
         self._note('direct', answer.status)
+        self._silent = not answer.status
+        if answer.usable:
+            self._answered_at = self._clock()
         if answer.usable and self.lost:
             _log.info('store regained')
             self.lost = False
--- a/orchidrail/store/tests/test_relay.py
+++ b/orchidrail/store/tests/test_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
 from orchidrail.testing import AsyncTestCase
 
@@ -62,6 +64,29 @@
         self.direct = RawAnswer(_OK)
         self.assertEqual(_OK, self.call().status)
 
+    def test_no_call_waits_for_a_direct_way_that_is_silent(self) -> None:
+        self.direct = RawAnswer(0)
+        self.call()
+        self.ways.clear()
+        self.now += 1
+        post = RawCall('POST', '/x')
+        self.run_async(self.caller(post))
+        self.assertEqual(['relay'], self.ways)
+        self.assertFalse(self.caller.direct_answers())
+
+    def test_a_silent_direct_way_is_tried_beside_a_read(self) -> None:
+        async def scene() -> None:
+            await self.caller(_CALL)
+            self.now += 1
+            self.direct = RawAnswer(_OK)
+            self.assertEqual(b'relayed', (await self.caller(_CALL)).body)
+            await asyncio.sleep(0)
+            self.assertEqual(b'', (await self.caller(_CALL)).body)
+            self.assertTrue(self.caller.direct_answers())
+
+        self.direct = RawAnswer(0)
+        self.run_async(scene())
+
     def test_a_call_that_may_have_got_through_stays_uncertain(self) -> None:
         self.direct = RawAnswer(0, reached=True)
         self.relayed = RawAnswer(0, reached=False)
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -446,6 +446,10 @@
     address: Address
     zone: str
     incarnation: str
+    #: Processor of its machine, in cores.
+    speed: float = 1
+    #: Whether its own calls to the store are answered.
+    store_answers: bool = False
     #: Epoch of the shard's owner as far as the sender knows.
     epoch: Epoch = Epoch(0)
     owner: InstanceId = InstanceId('')
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -350,12 +350,14 @@
   address @1 :Text;
   zone @2 :Text;
   incarnation @3 :Text;
-  epoch @4 :Int64;
-  owner @5 :Text;
-  ownerAddress @6 :Text;
-  owning @7 :Bool;
-  queues @8 :List(Text);
-  waiting @9 :List(Int64);
+  speed @4 :Float64;
+  storeAnswers @5 :Bool;
+  epoch @6 :Int64;
+  owner @7 :Text;
+  ownerAddress @8 :Text;
+  owning @9 :Bool;
+  queues @10 :List(Text);
+  waiting @11 :List(Int64);
 }
 
 struct SubmitWork {
--- a/orchidrail/work/model.py
+++ b/orchidrail/work/model.py
@@ -262,10 +262,12 @@
 class MemberInfo(msgspec.Struct, frozen=True, array_like=True):
     """One running process of the system.
 
-    `incarnation` differs for each life of a process of the same name.
+    `incarnation` differs for each life of a process of the same name; `speed`
+    compares the processors of their machines, in cores.
     """
 
     name: InstanceId
     address: Address
     zone: str
     incarnation: str
+    speed: float = 1
