Learn the workers' paces; tell no waiting gang member from a stalled one

A third of the workers takes 1.3 times as long, and work was packed by room alone. 50 times in 12 s a worker was closed for standing still: members of gangs that had done their part and waited for the others. Change: a worker's pace is learnt from how long its tasks took against their estimates; urgent work goes to usual workers first, other work to slower ones. A gang member at 99% or more waits rather than stands still. The line of a job that is over tells how long it took, and its longest run with the worker. Removed as unused: room_in_all, Job.shown.

--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from orchidrail.shard.pace import Pace
 from orchidrail.types import Seconds, WorkerId
 from orchidrail.work.job import Task
 from orchidrail.work.model import Size, StepSpec
@@ -31,6 +32,8 @@
     SERVES = 'serves'
 
 
+#: Share from which a gang's member may wait for the others to end.
+_ALL_BUT_DONE = 99
 #: Roles that are never put beside each other: a task that fills slows one
 #: that serves by an amount that shifts within seconds.
 _KEPT_APART = {
@@ -85,10 +88,14 @@
         if self.task is None or self.stopping or not self.progress_at:
             return False
         spec = self.task.step.spec
-        if spec.lasting or (spec.gang and not self.share_done):
+        if spec.lasting or (spec.gang and self._waits_for_gang()):
             return False
         return now - self.progress_at > _STALLED_AFTER
 
+    def _waits_for_gang(self) -> bool:
+        """Whether other members may not have come or not have ended yet."""
+        return not self.share_done or self.share_done >= _ALL_BUT_DONE
+
 
 def note_progress(run: PlacedRun, share_done: float, now: Seconds) -> None:
     """Take how much of a run is done."""
@@ -119,6 +126,7 @@
         #: Whether something that runs here makes no progress.
         self.stalled = False
         self._unsized = 0
+        self.pace = Pace.USUAL
         #: False once the worker's entry is gone for good: it has left, or
         #: leaves without having said so.
         self.listed = True
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -6,9 +6,13 @@
 from typing import NamedTuple
 
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.pace import Pace
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import StepSpec
 
+_URGENT_ORDER = {Pace.USUAL: 0, Pace.SLOWER: 1, Pace.FAR_SLOWER: 2}
+_OTHER_ORDER = {Pace.SLOWER: 0, Pace.USUAL: 1, Pace.FAR_SLOWER: 2}
+
 
 class Placement(NamedTuple):
     """A task and the worker chosen for it."""
@@ -55,15 +59,19 @@
     step: StepState,
     open_books: list[WorkerBooks],
 ) -> list[WorkerBooks]:
-    """Best worker first: near the data, then the tightest that fits.
+    """Best worker first: near the data, of a good pace, then the tightest.
 
-    Tight packing keeps whole stretches of other workers free for wide steps.
+    Urgent work goes to usual workers and leaves slower ones to work that has
+    time. Tight packing keeps whole stretches of other workers free for wide
+    steps.
     """
     rack = step.spec.data_rack
+    order = _URGENT_ORDER if step.job.queue.priority == 0 else _OTHER_ORDER
     return sorted(
         open_books,
         key=lambda books: (
             bool(rack) and books.entry.rack != rack,
+            order[books.pace],
             books.free.millicores,
         ),
     )
@@ -100,18 +108,3 @@
         if len(chosen) == len(tasks):
             return chosen
     return []
-
-
-def room_in_all(
-    step: StepState,
-    books_list: list[WorkerBooks],
-) -> int:
-    """Return how many tasks of a step the workers would hold if empty."""
-    spec = step.spec
-    total = 0
-    for books in books_list:
-        fitting = spec.charged.times_in(books.entry.capacity)
-        if spec.most_per_worker:
-            fitting = min(fitting, spec.most_per_worker)
-        total += fitting
-    return total
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -357,7 +357,7 @@
         ended: EndedRun,
         touched: dict[str, Job],
     ) -> None:
-        books.release(ended.key)
+        run = books.release(ended.key)
         task = self._state.find_task(ended.key.task)
         if task is None:
             return
@@ -371,6 +371,8 @@
             self._state.metrics.queue(job.queue.name),
             ended.ending.value,
         ).inc()
+        if run is not None and ended.ending is RunEnding.DONE:
+            self._learn_pace(books, run, task)
         self._judge(books, task, ended.ending)
         if ended.ending is not RunEnding.DONE:
             _log.info(
@@ -384,6 +386,21 @@
         if ended.ending in (RunEnding.LAPSED, RunEnding.ALONE):
             self._break_gang(task)
 
+    def _learn_pace(
+        self,
+        books: WorkerBooks,
+        run: PlacedRun,
+        task: Task,
+    ) -> None:
+        spec = task.step.spec
+        took = self._state.clock() - run.confirmed_at
+        if spec.gang or task.checkpoint or not math.isfinite(took):
+            return
+        paces = self._state.paces
+        paces.note(books.worker, task.step.job.queue.name, took, spec.estimate)
+        books.pace = paces.of(books.worker)
+        task.step.job.note_run(took, books.worker)
+
     def _judge(
         self,
         books: WorkerBooks,
@@ -451,7 +468,14 @@
         commit = self._state.save(job)
         if not job.ended:
             return commit
-        _log.info('job over', job=job.job_id, phase=job.phase.name.lower())
+        _log.info(
+            'job over',
+            job=job.job_id,
+            phase=job.phase.name.lower(),
+            took=round(self._state.wall_clock() - job.record.accepted_at, 3),
+            longest_run=round(job.longest_run, 3),
+            longest_at=job.longest_at,
+        )
         self._state.note_over(job)
         self._state.job_by_id.pop(job.job_id, None)
         self.stop_job(job)
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -10,6 +10,7 @@
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.pace import Paces
 from orchidrail.types import JobId, RunNumber, Seconds, TaskKey, WorkerId
 from orchidrail.work.job import Job, Task
 from orchidrail.work.records import (
@@ -61,6 +62,7 @@
         self.unlogged_until: Seconds = 0
         #: Whether the workers' entries were read.
         self.workers_listed = False
+        self.paces = Paces()
         #: Set when something may be placed that could not before.
         self.wanted = asyncio.Event()
         self.changed_jobs: set[JobId] = set()
@@ -95,6 +97,7 @@
     def drop_worker(self, worker: WorkerId) -> None:
         """Take a worker out of the journal: its life is over."""
         self.writer.put(worker_key(worker), b'')
+        self.paces.forget(worker)
 
     def worker_kept(self, worker: WorkerId) -> bool:
         """Whether the next owner will surely look for a worker."""
--- a/orchidrail/shard/tests/test_placing.py
+++ b/orchidrail/shard/tests/test_placing.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.pace import Pace
 from orchidrail.shard.placing import choose_workers, suits
 from orchidrail.types import Epoch, RunNumber, TaskKey
 from orchidrail.work.job import StepState
@@ -90,3 +91,26 @@
         self.assertTrue(suits(serving, books))
         books.release(key)
         self.assertTrue(suits(filling, books))
+
+    def test_urgent_work_leaves_slower_workers_to_other_work(self) -> None:
+        slow, usual = _books('slow'), _books('usual', cores=8)
+        slow.pace = Pace.SLOWER
+        step = _step(StepSpec(1, Size(1000)))
+        urgent = msgspec.structs.replace(step.job.queue, priority=0)
+        other = msgspec.structs.replace(step.job.queue, priority=1)
+        for queue, expected in ((urgent, 'usual'), (other, 'slow')):
+            step.job.record = msgspec.structs.replace(
+                step.job.record,
+                queue=queue,
+            )
+            chosen = choose_workers(step, step.startable(), [slow, usual])
+            self.assertEqual(expected, chosen[0].books.worker)
+
+    def test_a_gang_member_that_is_done_does_not_stand_still(self) -> None:
+        step = _step(StepSpec(2, gang=True))
+        key = RunKey(step.tasks[0].key, RunNumber(1))
+        run = PlacedRun(key, Size(), step.tasks[0], 0)
+        for share, expected in ((0, False), (40, True), (100, False)):
+            run.share_done = share
+            run.progress_at = 1
+            self.assertEqual(expected, run.stalled(now=10))
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -132,13 +132,14 @@
         self.job_id = job_id
         self.record = record
         self.phase = JobPhase.QUEUED
-        #: Phase that the journal is known to hold; what callers are shown.
-        self.shown = JobPhase.QUEUED
         self.begun = False
         #: Whether the journal is known to have the job.
         self.accepted = False
         #: Whether it was accepted by an earlier owner.
         self.restored = False
+        #: The longest of its runs that went well, in seconds, and where.
+        self.longest_run: Seconds = 0
+        self.longest_at = WorkerId('')
         self._steps_by_round: dict[int, list[StepState]] = {}
 
     @property
@@ -238,6 +239,12 @@
         if ending in _ENDINGS_THAT_COUNT:
             self._count_failure(task)
 
+    def note_run(self, took: Seconds, worker: WorkerId) -> None:
+        """Note how long a run took, to explain later what held the job up."""
+        if took > self.longest_run:
+            self.longest_run = took
+            self.longest_at = worker
+
     def rows(self) -> list[TaskRow]:
         """Return the tasks that have left their first state."""
         steps = itertools.chain.from_iterable(self._steps_by_round.values())
@@ -252,7 +259,6 @@
                 self.begun = True
         if progress.rows:
             self.phase = JobPhase.RUNNING
-            self.shown = JobPhase.RUNNING
 
     def _succeed(self, task: Task) -> None:
         members = task.step.tasks if task.step.spec.gang else (task,)
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,52 @@
+"""Command line of the soak."""
+
+from __future__ import annotations
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+import fire
+
+from soak.run import Outcome, play
+
+
+def main(
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20,
+    jobs: int = 1,
+    logs: str = '',
+) -> None:
+    """Play seeds from `seed` on, `jobs` of them side by side."""
+    broken = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        numbers = range(seed, seed + seeds)
+        runs = [
+            pool.submit(
+                play,
+                number,
+                1 + index % 200,
+                seconds,
+                f'{logs}/{number}' if logs else '',
+            )
+            for index, number in enumerate(numbers)
+        ]
+        for number, run in zip(numbers, runs, strict=True):
+            outcome = run.result()
+            broken += len(outcome.broken)
+            print(_line(number, outcome), flush=True)
+    print(f'{seeds} seeds, {broken} promises broken')
+    sys.exit(bool(broken))
+
+
+def _line(seed: int, outcome: Outcome) -> str:
+    text = (
+        f'seed {seed}: {outcome.jobs} jobs, {outcome.accepted} accepted, '
+        f'{sum(outcome.faults.values())} faults, '
+        f'{len(outcome.broken)} broken'
+    )
+    return '\n    '.join([text, *outcome.broken[:5]])
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,163 @@
+"""Callers that hand jobs in, ask for them, and believe what they are told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import Counter
+from random import Random
+from typing import Any
+
+import aiohttp
+
+from soak.ledger import Ledger, SentJob
+
+_HOST = 'queue.example'
+_DEADLINE = 3.0
+_TRIES = 4
+_ASK_EVERY = 0.4
+_STEPS: tuple[list[dict[str, Any]], ...] = (
+    [{'count': 2, 'cpu': 2000, 'memMb': 100, 'estimatedMs': 300}],
+    [{'count': 1, 'cpu': 1000, 'memMb': 100, 'estimatedMs': 100}],
+    [
+        {'count': 3, 'cpu': 3000, 'memMb': 100, 'estimatedMs': 800},
+        {
+            'count': 2,
+            'cpu': 1000,
+            'memMb': 100,
+            'estimatedMs': 500,
+            'afterRevision': [0],
+        },
+    ],
+    [
+        {
+            'count': 3,
+            'cpu': 5000,
+            'memMb': 100,
+            'estimatedMs': 900,
+            'gangScheduled': True,
+        }
+    ],
+)
+
+
+class Callers:
+    """Sends jobs at some rate to addresses chosen at random."""
+
+    def __init__(
+        self,
+        addresses: list[str],
+        ledger: Ledger,
+        random: Random,
+    ) -> None:
+        """Open no connection yet."""
+        self.endings: Counter[str] = Counter()
+        self._addresses = addresses
+        self._ledger = ledger
+        self._random = random
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=_DEADLINE),
+        )
+
+    async def run(self, until: float, per_second: float) -> None:
+        """Hand jobs in until a time of the steady clock."""
+        while time.monotonic() < until:
+            self._spawn(self._live_through(self._make_job()))
+            await asyncio.sleep(self._random.expovariate(per_second))
+
+    async def settle(self, within: float) -> None:
+        """Ask for every accepted job until it has ended, or time is up."""
+        until = time.monotonic() + within
+        while time.monotonic() < until and self._open_jobs():
+            await asyncio.gather(*(self._ask(job) for job in self._open_jobs()))
+            await asyncio.sleep(_ASK_EVERY)
+
+    async def close(self) -> None:
+        """Give up all calls in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await self._session.close()
+
+    def _open_jobs(self) -> list[SentJob]:
+        return [
+            job
+            for job in self._ledger.job_by_id.values()
+            if job.accepted and not job.cancel_sent and job.state != 'completed'
+        ]
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _make_job(self) -> SentJob:
+        job_id = f'{self._random.getrandbits(64):016x}'
+        steps = self._random.choice(_STEPS)
+        job = SentJob(job_id, f'text-{job_id}', steps)
+        self._ledger.job_by_id[job_id] = job
+        return job
+
+    async def _live_through(self, job: SentJob) -> None:
+        await self._submit(job)
+        if job.accepted and self._random.random() < 0.06:
+            await asyncio.sleep(self._random.uniform(0, 1))
+            await self._cancel(job)
+        while job.accepted and not job.cancel_sent and job.state != 'completed':
+            await asyncio.sleep(_ASK_EVERY)
+            await self._ask(job)
+
+    async def _submit(self, job: SentJob) -> None:
+        body = {'spec': job.text, 'phases': job.steps}
+        for _ in range(_TRIES):
+            status = await self._call('POST', job, body)
+            self.endings[f'submit {status}'] += 1
+            if status == 200:
+                job.accepted = True
+                return
+            refused = status in {429, 503, -1}
+            if status == 404:
+                self._ledger.breach('CONFIG', f'{job.job_id} got 404')
+            job.doubtful = job.doubtful or not refused
+            await asyncio.sleep(0.2)
+
+    async def _cancel(self, job: SentJob) -> None:
+        job.cancel_sent = True
+        status = await self._call('DELETE', job)
+        self.endings[f'cancel {status}'] += 1
+        if status in {200, 410}:
+            job.cancelled_at = time.monotonic()
+
+    async def _ask(self, job: SentJob) -> None:
+        await self._call('GET', job)
+
+    async def _call(
+        self,
+        method: str,
+        job: SentJob,
+        body: dict[str, Any] | None = None,
+    ) -> int:
+        """Return the status, 0 without an answer, -1 if not sent."""
+        address = self._random.choice(self._addresses)
+        headers = {
+            'Host': _HOST,
+            'X-Orchidrail-Deadline-Ms': str(int(_DEADLINE * 1000)),
+            'Content-Type': 'application/json',
+        }
+        try:
+            async with self._session.request(
+                method,
+                f'http://{address}/q/{job.job_id}',
+                data=json.dumps(body) if body else None,
+                headers=headers,
+            ) as response:
+                raw = await response.read()
+        except aiohttp.ClientConnectorError:
+            return -1
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return 0
+        if method == 'GET':
+            state = json.loads(raw)['state'] if response.status == 200 else ''
+            self._ledger.note_state(job, response.status, state)
+        return response.status
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,132 @@
+"""Seeded faults, in series and overlapping."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from soak.proxy import Harm, Proxy
+from soak.system import Instance
+from soak.workers import WorkerStandIn
+
+_HARMS = (Harm.DELAY, Harm.RESET, Harm.SILENCE, Harm.MUTE_ANSWERS)
+
+
+class Faults:
+    """Does one thing after another to processes, links and workers."""
+
+    def __init__(
+        self,
+        instances: list[Instance],
+        workers: list[WorkerStandIn],
+        worker_links: list[Proxy],
+        random: Random,
+    ) -> None:
+        """Do nothing yet."""
+        self.count: Counter[str] = Counter()
+        self._instances = instances
+        self._workers = workers
+        self._worker_links = worker_links
+        self._random = random
+        self._kinds: tuple[Callable[[], Awaitable[None]], ...] = (
+            self._kill,
+            self._kill,
+            self._kill_many,
+            self._stop,
+            self._roll,
+            self._pause,
+            self._pause,
+            self._reload,
+            self._harm_store_of_one,
+            self._harm_store_of_one,
+            self._harm_store_of_all,
+            self._harm_workers,
+            self._crash_worker,
+            self._drain_worker,
+        )
+
+    async def run(self, until: float) -> None:
+        """Begin faults until a time of the steady clock; wait for their ends."""
+        begun = []
+        while time.monotonic() < until:
+            fault = self._random.choice(self._kinds)
+            self.count[fault.__name__.strip('_')] += 1
+            begun.append(asyncio.ensure_future(fault()))
+            await asyncio.sleep(self._random.uniform(0.3, 2.5))
+        await asyncio.gather(*begun)
+        for instance in self._instances:
+            instance.signal(signal.SIGCONT)
+            await instance.start()
+
+    def _some_time(self, most: float = 5) -> float:
+        return self._random.uniform(0.3, most)
+
+    async def _kill(self) -> None:
+        instance = self._random.choice(self._instances)
+        await instance.kill()
+        await asyncio.sleep(self._some_time(3))
+        await instance.start()
+
+    async def _kill_many(self) -> None:
+        count = self._random.randint(2, len(self._instances))
+        chosen = self._random.sample(self._instances, count)
+        await asyncio.gather(*(instance.kill() for instance in chosen))
+        await asyncio.sleep(self._some_time(2))
+        await asyncio.gather(*(instance.start() for instance in chosen))
+
+    async def _stop(self) -> None:
+        instance = self._random.choice(self._instances)
+        await instance.stop()
+        await instance.start()
+
+    async def _roll(self) -> None:
+        for instance in self._random.sample(self._instances, 3):
+            await instance.stop()
+            await instance.start()
+            await asyncio.sleep(0.5)
+
+    async def _pause(self) -> None:
+        instance = self._random.choice(self._instances)
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._some_time())
+        instance.signal(signal.SIGCONT)
+
+    async def _reload(self) -> None:
+        for instance in self._instances:
+            instance.write_settings()
+            if self._random.random() < 0.7:
+                instance.signal(signal.SIGHUP)
+
+    async def _harm_store_of_one(self) -> None:
+        instance = self._random.choice(self._instances)
+        await self._harm([instance.store])
+
+    async def _harm_store_of_all(self) -> None:
+        await self._harm([instance.store for instance in self._instances])
+
+    async def _harm_workers(self) -> None:
+        count = self._random.randint(1, len(self._worker_links) // 2)
+        await self._harm(self._random.sample(self._worker_links, count))
+
+    async def _harm(self, links: list[Proxy]) -> None:
+        harm = self._random.choice(_HARMS)
+        for link in links:
+            link.delay = self._random.uniform(0.02, 0.3)
+            link.set_harm(harm)
+        await asyncio.sleep(self._some_time())
+        for link in links:
+            link.set_harm(Harm.NONE)
+            if harm is Harm.SILENCE:
+                # What a cut held up is lost when its sender gave up.
+                link.reset_all()
+
+    async def _crash_worker(self) -> None:
+        self._random.choice(self._workers).crash()
+
+    async def _drain_worker(self) -> None:
+        worker = self._random.choice(self._workers)
+        await worker.drain(silently=self._random.random() < 0.3)
--- /dev/null
+++ b/soak/http.py
@@ -0,0 +1,60 @@
+"""Serving a stand-in on given sockets, in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Awaitable, Callable, Generator
+from contextlib import AsyncExitStack, contextmanager
+from typing import Any
+
+import uvicorn
+from blacksheep import Application, Content, Request, Response, Router
+
+from orchidrail.http_handlers import as_handler
+
+Answerer = Callable[[Request], Awaitable[Response]]
+
+
+class _Server(uvicorn.Server):
+    @contextmanager
+    def capture_signals(self) -> Generator[None]:
+        """Leave signals to the program."""
+        yield
+
+
+def answer(status: int, body: Any = None) -> Response:
+    """Return an answer with a JSON body, or without any."""
+    if body is None:
+        return Response(status)
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return Response(status, content=Content(b'application/json', raw))
+
+
+async def serve(
+    stack: AsyncExitStack,
+    answerer: Answerer,
+    sockets: list[socket.socket],
+) -> None:
+    """Serve until the stack closes."""
+    app = Application(router=Router())
+    app.router.fallback = as_handler(answerer)
+    server = _Server(
+        uvicorn.Config(
+            app,
+            loop='asyncio',
+            http='httptools',
+            ws='none',
+            log_config=None,
+            access_log=False,
+            timeout_graceful_shutdown=1,
+        )
+    )
+    task = asyncio.create_task(server.serve(sockets=sockets))
+
+    async def end() -> None:
+        server.should_exit = True
+        await asyncio.wait([task], timeout=3)
+
+    stack.push_async_callback(end)
--- /dev/null
+++ b/soak/ledger.py
@@ -0,0 +1,127 @@
+"""What callers were told and what workers did, and what that breaks."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+#: Seconds after an acknowledged cancel in which starts may still come.
+CANCEL_WITHIN = 3.0
+
+
+@dataclass
+class SentJob:
+    """A job as its caller sees it."""
+
+    job_id: str
+    text: str
+    steps: list[dict[str, Any]]
+    accepted: bool = False
+    #: Whether some try may have had an effect.
+    doubtful: bool = False
+    cancel_sent: bool = False
+    cancelled_at: float | None = None
+    state: str = ''
+
+
+@dataclass
+class TaskLog:
+    """What the workers did of one task."""
+
+    running: set[str] = field(default_factory=set)
+    starts: int = 0
+    done: bool = False
+    #: Whether the end `done` was acknowledged.
+    done_noted: bool = False
+    failures: int = 0
+
+
+class Ledger:
+    """Collects what is seen and judges it at once."""
+
+    def __init__(self) -> None:
+        """Start with nothing seen."""
+        self.broken: list[str] = []
+        self.job_by_id: dict[str, SentJob] = {}
+        self.task_by_key: dict[str, TaskLog] = defaultdict(TaskLog)
+        self.began = time.monotonic()
+
+    def breach(self, rule: str, detail: str) -> None:
+        """Note that a promise was broken."""
+        at = time.monotonic() - self.began
+        self.broken.append(f'{rule} at {at:.2f} s: {detail}')
+
+    def note_start(self, key: str, text: str, worker: str) -> None:
+        """Judge a start."""
+        job_id, _, step, _ = key.split('.')
+        job = self.job_by_id.get(job_id)
+        if job is None or job.text != text:
+            self.breach('UNASKED', f'{key} on {worker}, text {text!r}')
+            return
+        task = self.task_by_key[key]
+        task.starts += 1
+        if task.running:
+            self.breach('TWICE', f'{key} on {worker} and {task.running}')
+        if task.done_noted:
+            self.breach('TWICE', f'{key} on {worker} after its noted end')
+        for earlier in job.steps[int(step)].get('afterRevision', ()):
+            if not self._step_done(job, earlier):
+                self.breach('ORDER', f'{key} before step {earlier}')
+        cancelled = job.cancelled_at
+        if cancelled and time.monotonic() - cancelled > CANCEL_WITHIN:
+            self.breach('UNASKED', f'{key} started after its cancel')
+        task.running.add(worker)
+
+    def note_end(self, key: str, worker: str, how: str) -> None:
+        """Take that a run ended at a worker."""
+        task = self.task_by_key[key]
+        task.running.discard(worker)
+        task.done = task.done or how == 'done'
+        task.failures += how == 'failed'
+
+    def note_acknowledged(self, key: str, how: str) -> None:
+        """Take that an end was acknowledged."""
+        if how == 'done':
+            self.task_by_key[key].done_noted = True
+
+    def note_state(self, job: SentJob, status: int, state: str) -> None:
+        """Judge what a caller is shown of a job."""
+        if status == 410 and job.accepted and not job.cancel_sent:
+            self.breach('LOST', f'{job.job_id} is not known')
+        if state == 'completed' and not self._all_done(job):
+            self.breach('MIXED', f'{job.job_id} shown as completed too early')
+        if state in {'failed', 'cancelled'} and not job.cancel_sent:
+            self.breach('LOST', f'{job.job_id} shown as {state}')
+        job.state = state or job.state
+
+    def judge_end(self) -> None:
+        """Judge what must hold once everything is calm again."""
+        for job in self.job_by_id.values():
+            started = any(
+                self.task_by_key[key].starts for key in _task_keys(job)
+            )
+            if started and not job.accepted and not job.doubtful:
+                self.breach('REFUSED', f'{job.job_id} ran all the same')
+            owed = job.accepted and not job.cancel_sent
+            if owed and job.state != 'completed':
+                self.breach('LOST', f'{job.job_id} ends as {job.state!r}')
+
+    def _step_done(self, job: SentJob, number: int) -> bool:
+        count = job.steps[number]['count']
+        keys = (f'{job.job_id}.0.{number}.{index}' for index in range(count))
+        return all(self.task_by_key[key].done for key in keys)
+
+    def _all_done(self, job: SentJob) -> bool:
+        return all(
+            self._step_done(job, number) for number in range(len(job.steps))
+        )
+
+
+def _task_keys(job: SentJob) -> list[str]:
+    return [
+        f'{job.job_id}.0.{number}.{index}'
+        for number, step in enumerate(job.steps)
+        for index in range(step['count'])
+    ]
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,194 @@
+"""One run of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from random import Random
+from typing import NamedTuple
+
+from blacksheep import Request, Response
+
+from orchidrail.sockets import listen
+from soak.callers import Callers
+from soak.faults import Faults
+from soak.http import serve
+from soak.ledger import Ledger
+from soak.proxy import Proxy
+from soak.store import StoreStandIn
+from soak.system import Instance
+from soak.workers import WorkerStandIn
+
+_ZONES = 3
+_PER_ZONE = 2
+_WORKERS = 8
+_STORE_PORT = 9001
+_WORKER_PORT, _WORKER_LINK_PORT = 9100, 9200
+_START_WITHIN = 15.0
+_PER_SECOND = 6.0
+_SETTLE = 40.0
+_CONFIG = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'queue',
+            'host': 'queue.example',
+            'pathPrefix': '/q/',
+            'service': 'service',
+            'priority': 1,
+            'maxAttempts': 3,
+            'extension': 2,
+            'targetLatencyMs': 1000,
+        }
+    ],
+    'limits': {},
+}
+
+
+class Outcome(NamedTuple):
+    """What a run showed."""
+
+    broken: list[str]
+    jobs: int
+    accepted: int
+    faults: Counter[str]
+    endings: Counter[str]
+
+
+class Soak:
+    """The stand-ins, links and processes of one run.
+
+    Parameters
+    ----------
+    seed : int
+    slot : int
+        Number of the loopback network that is used, 1 to 200: runs side by
+        side need one each.
+    folder : pathlib.Path
+        For settings files and logs.
+    """
+
+    def __init__(self, seed: int, slot: int, folder: pathlib.Path) -> None:
+        """Prepare; nothing is started yet."""
+        self.ledger = Ledger()
+        self._network = f'127.{slot}'
+        self._random = Random(seed)
+        store_host = f'{self._network}.9.1'
+        self._store = StoreStandIn()
+        self._store_at = store_host, _STORE_PORT
+        self._worker_host = f'{self._network}.9.2'
+        gangs: dict[str, set[str]] = {}
+        self._workers = [
+            WorkerStandIn(
+                number,
+                f'{self._worker_host}:{_WORKER_LINK_PORT + number}',
+                self._store,
+                self.ledger,
+                gangs,
+            )
+            for number in range(_WORKERS)
+        ]
+        self._links = [
+            Proxy(lambda port=_WORKER_PORT + number: (self._worker_host, port))
+            for number in range(_WORKERS)
+        ]
+        self._instances = [
+            Instance(
+                f'instance-{zone}-{number}',
+                f'zone-{zone}',
+                f'{self._network}.{zone + 1}.{number + 1}',
+                folder,
+                self._store_at,
+            )
+            for zone in range(_ZONES)
+            for number in range(_PER_ZONE)
+        ]
+
+    async def play(self, seconds: float, per_second: float) -> Outcome:
+        """Run faults for some seconds, then settle and judge."""
+        async with AsyncExitStack() as stack:
+            await self._open(stack)
+            addresses = [instance.callers for instance in self._instances]
+            callers = Callers(addresses, self.ledger, self._random)
+            stack.push_async_callback(callers.close)
+            await self._wait_until_ready()
+            faults = Faults(
+                self._instances,
+                self._workers,
+                self._links,
+                self._random,
+            )
+            until = time.monotonic() + seconds
+            await asyncio.gather(
+                callers.run(until + 2, per_second),
+                faults.run(until),
+            )
+            await callers.settle(_SETTLE)
+            self.ledger.judge_end()
+            jobs = self.ledger.job_by_id.values()
+            return Outcome(
+                self.ledger.broken,
+                len(jobs),
+                sum(job.accepted for job in jobs),
+                faults.count,
+                callers.endings,
+            )
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        self._store.put('keyed.op', 'config', json.dumps(_CONFIG).encode())
+        host, port = self._store_at
+        await serve(stack, self._store.serve, [listen(f'{host}:{port}')])
+        ports = [_WORKER_PORT + number for number in range(_WORKERS)]
+        sockets = [listen(f'{self._worker_host}:{port}') for port in ports]
+        await serve(stack, self._serve_worker, sockets)
+        for number, link in enumerate(self._links):
+            link_port = _WORKER_LINK_PORT + number
+            await link.start(stack, self._worker_host, link_port)
+        for worker in self._workers:
+            stack.callback(asyncio.create_task(worker.work()).cancel)
+        for instance in self._instances:
+            await instance.open(stack)
+
+    async def _serve_worker(self, request: Request) -> Response:
+        port = request.scope['server'][1]
+        return await self._workers[port - _WORKER_PORT].serve(request)
+
+    async def _wait_until_ready(self) -> None:
+        """Wait until every process answers; else the run proves nothing."""
+        until = time.monotonic() + _START_WITHIN
+        for instance in self._instances:
+            host = instance.callers.partition(':')[0]
+            while not await _answers(host):
+                if time.monotonic() > until:
+                    raise TimeoutError(f'{host!r} did not become ready')
+                await asyncio.sleep(0.1)
+
+
+async def _answers(host: str) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(host, 8167)
+    except OSError:
+        return False
+    writer.write(b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n')
+    line = await reader.readline()
+    writer.close()
+    return b' 200 ' in line
+
+
+def play(
+    seed: int,
+    slot: int = 1,
+    seconds: float = 20,
+    logs: str = '',
+) -> Outcome:
+    """Play one seed; logs are kept in the folder `logs` if it is given."""
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(logs or scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(seed, slot, folder)
+        return asyncio.run(soak.play(seconds, _PER_SECOND))
--- /dev/null
+++ b/soak/system.py
@@ -0,0 +1,119 @@
+"""The real programs as processes, each behind proxies of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+from contextlib import AsyncExitStack
+
+from soak.proxy import Proxy
+
+_CALLERS, _READY, _STORE = 8161, 8167, 9000
+_GRACE = 6
+_SETTINGS = """nodeName={name}
+ip={host}
+zone={zone}
+bindAddresses.frontend={host}:{callers}
+bindAddresses.ready={host}:{ready}
+internalPortRange=7720,7735
+limits.cpuShare=1
+limits.cpuCores=1
+bounds.maxHoldMs=6000
+bounds.gang_ms=3000
+bounds.gracePeriodS={grace}
+bounds.status_s=120
+bounds.stop_ms=200
+commands=invocation
+platform.address={host}:{store}
+unknown.key=ignored-{salt}
+"""
+
+
+class Instance:
+    """One process of the system, started again and again."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        folder: pathlib.Path,
+        store: tuple[str, int],
+    ) -> None:
+        """Start nothing yet."""
+        self.callers = f'{host}:{_CALLERS}'
+        self.store = Proxy(lambda: store)
+        self._name = name
+        self._zone = zone
+        self._host = host
+        self._settings = folder / f'{name}.conf'
+        self._log = folder / f'{name}.log'
+        self._process: asyncio.subprocess.Process | None = None
+        self._salt = 0
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Start the proxy and the process; the stack ends both."""
+        await self.store.start(stack, self._host, _STORE)
+        self.write_settings()
+        stack.push_async_callback(self.kill)
+        await self.start()
+
+    def write_settings(self) -> None:
+        """Write the settings file, each time a little different."""
+        self._salt += 1
+        text = _SETTINGS.format(
+            name=self._name,
+            host=self._host,
+            zone=self._zone,
+            callers=_CALLERS,
+            ready=_READY,
+            store=_STORE,
+            grace=_GRACE,
+            salt=self._salt,
+        )
+        self._settings.write_text(text)
+
+    async def start(self) -> None:
+        """Start the process unless it runs."""
+        if self._process is not None and self._process.returncode is None:
+            return
+        with self._log.open('ab') as output:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'orchidrail.instance.main',
+                stdout=output,
+                stderr=output,
+                env={**os.environ, 'ORCHIDRAIL_SETTINGS': str(self._settings)},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        process = self._process
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+
+    async def stop(self) -> None:
+        """Ask the process to stop; kill it after its grace."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        assert self._process is not None
+        try:
+            await asyncio.wait_for(self._process.wait(), _GRACE)
+        except TimeoutError:
+            await self.kill()
+
+    @property
+    def exit_code(self) -> int | None:
+        """How the process ended, None while it runs."""
+        return None if self._process is None else self._process.returncode
--- /dev/null
+++ b/soak/workers.py
@@ -0,0 +1,252 @@
+"""Stand-ins for workers: leases, fences, run numbers, ends until noted."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any
+
+from blacksheep import Request, Response
+
+from soak.http import answer
+from soak.ledger import Ledger
+from soak.store import StoreStandIn
+
+_LIFE = b'X-Orchidrail-Expect-Instance'
+_TICK = 0.02
+_MOST_HOLD = 6.0
+_STOP_TAKES = 0.2
+_GANG_WAIT = 3.0
+_DRAINS_FOR = 2.0
+#: An entry goes after three heartbeats of 1.5 s.
+_ENTRY_LAPSES = 4.5
+_lives = itertools.count(1)
+
+
+@dataclass
+class _Run:
+    left: float
+    size: int
+    #: Members of its gang, 1 for a task of its own.
+    members: int
+    present_at: float
+    stops_at: float | None = None
+
+
+class WorkerStandIn:
+    """One machine of the service, life after life."""
+
+    def __init__(
+        self,
+        number: int,
+        address: str,
+        store: StoreStandIn,
+        ledger: Ledger,
+        gangs: dict[str, set[str]],
+    ) -> None:
+        """Start the first life."""
+        self.address = address
+        self.cores = 16_000
+        self._rack = f'r-{number % 2}'
+        self._store = store
+        self._ledger = ledger
+        self._gangs = gangs
+        self._clock_offset = 100.0 * number
+        self.begin_life()
+
+    def begin_life(self) -> None:
+        """Forget everything, under a new id."""
+        self.life = f'i-{next(_lives):06d}'
+        self._fence = 0
+        self._run_by_key: dict[tuple[str, int], _Run] = {}
+        self._newest_ended: dict[str, int] = {}
+        self._ended: list[list[Any]] = []
+        self._numbers = itertools.count(1)
+        self._lease_ends = 0.0
+        self._ended_some = asyncio.Event()
+        self.enter('ready')
+
+    def enter(self, state: str, remaining_ms: int = 0) -> None:
+        """Write this life's entry."""
+        entry = {
+            'service': 'service',
+            'address': self.address,
+            'zone': 'zone-0',
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'capacity': {'cpu': self.cores, 'memMb': 64_000},
+            'labels': ['kind', self._rack],
+            'remainingMs': remaining_ms,
+            'sequence': 1,
+        }
+        raw = json.dumps(entry).encode()
+        self._store.put('keyed.servers', self.life, raw)
+
+    def crash(self) -> None:
+        """Lose everything; the entry of this life lapses later."""
+        for key, run in list(self._run_by_key.items()):
+            self._remove(key, run, 'crashed')
+        loop = asyncio.get_running_loop()
+        loop.call_later(_ENTRY_LAPSES, self._leave, self.life)
+        self.begin_life()
+
+    async def drain(self, *, silently: bool) -> None:
+        """Leave as planned, saying so or not, then come back empty."""
+        if silently:
+            self._leave(self.life)
+        else:
+            self.enter('draining', int(_DRAINS_FOR * 1000))
+        await asyncio.sleep(_DRAINS_FOR + 0.3)
+        self._leave(self.life)
+        for key, run in list(self._run_by_key.items()):
+            self._remove(key, run, 'left')
+        self.begin_life()
+
+    async def work(self) -> None:
+        """Let time pass for what runs."""
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(_TICK)
+            now = time.monotonic()
+            self._advance(now - last, now)
+            last = now
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one order."""
+        expected = (request.get_first_header(_LIFE) or b'').decode()
+        if expected != self.life:
+            return answer(421)
+        order = json.loads(await request.read() or b'{}')
+        if order.get('fencingToken', 0) < self._fence:
+            return answer(409, {'clockMs': self._clock_ms(), 'reason': 'fence'})
+        self._fence = order.get('fencingToken', 0)
+        path = request.url.path.decode()
+        if path == '/run-start':
+            return self._start(order)
+        if path == '/run-stop':
+            return self._stop(order)
+        return await self._hold(order)
+
+    def _clock_ms(self) -> int:
+        return int((time.monotonic() + self._clock_offset) * 1000)
+
+    def _start(self, order: dict[str, Any]) -> Response:
+        key = order['taskId'], order['runId']
+        now_ms = self._clock_ms()
+        if key in self._run_by_key:
+            return answer(200, {'clockMs': now_ms})
+        if order['deadlineMs'] < now_ms:
+            return answer(409, {'clockMs': now_ms, 'reason': 'late'})
+        self._extend_lease(order['deadlineMs'])
+        if order['runId'] <= self._newest_ended.get(order['taskId'], 0):
+            return answer(409, {'clockMs': now_ms, 'reason': 'old'})
+        self._ledger.note_start(order['taskId'], order['spec'], self.life)
+        self._run_by_key[key] = self._make_run(*key)
+        used = sum(run.size for run in self._run_by_key.values())
+        if used > self.cores:
+            self._ledger.breach('LIMIT', f'{self.life} runs {used}')
+        return answer(200, {'clockMs': now_ms})
+
+    def _make_run(self, task: str, number: int) -> _Run:
+        job_id, _, step_number, _ = task.split('.')
+        job = self._ledger.job_by_id.get(job_id)
+        step = job.steps[int(step_number)] if job else {'count': 1}
+        gang = step.get('gangScheduled', False)
+        if gang:
+            self._gangs.setdefault(_gang_key(task, number), set()).add(task)
+        return _Run(
+            step.get('estimatedMs', 100) / 1000,
+            step.get('cpu', 0),
+            step['count'] if gang else 1,
+            time.monotonic(),
+        )
+
+    def _stop(self, order: dict[str, Any]) -> Response:
+        key = order['taskId'], order['runId']
+        run = self._run_by_key.get(key)
+        if run is None:
+            newest = self._newest_ended.get(key[0], 0)
+            self._newest_ended[key[0]] = max(newest, key[1])
+        elif run.stops_at is None:
+            run.stops_at = time.monotonic() + _STOP_TAKES / 2
+        return answer(200, {'clockMs': self._clock_ms()})
+
+    async def _hold(self, order: dict[str, Any]) -> Response:
+        for number, task, _, how, _ in self._ended:
+            if number <= order.get('lastSeen', 0):
+                self._ledger.note_acknowledged(task, how)
+        self._ended = [
+            row for row in self._ended if row[0] > order.get('lastSeen', 0)
+        ]
+        if 'deadlineMs' in order:
+            self._extend_lease(order['deadlineMs'])
+        life = self.life
+        if order.get('waitMs') and not self._ended:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._ended_some.wait(),
+                    order['waitMs'] / 1000,
+                )
+        if life != self.life:
+            return answer(421)
+        listing = {
+            'clockMs': self._clock_ms(),
+            'active': [
+                [task, number, '', int(100 / (1 + 100 * max(0, run.left)))]
+                for (task, number), run in self._run_by_key.items()
+            ],
+            'ended': self._ended[:500],
+        }
+        return answer(200, listing)
+
+    def _extend_lease(self, deadline_ms: float) -> None:
+        own = deadline_ms / 1000 - self._clock_offset
+        most = time.monotonic() + _MOST_HOLD
+        self._lease_ends = max(self._lease_ends, min(own, most))
+
+    def _advance(self, passed: float, now: float) -> None:
+        if self._run_by_key and now > self._lease_ends:
+            for key, run in list(self._run_by_key.items()):
+                self._end(key, run, 'lapsed')
+        for key, run in list(self._run_by_key.items()):
+            if run.stops_at is not None and now > run.stops_at:
+                self._end(key, run, 'stopped')
+            elif run.members > 1 and not self._all_present(key, run):
+                if now - run.present_at > _GANG_WAIT:
+                    self._end(key, run, 'alone')
+            else:
+                run.left -= passed
+                if run.left <= 0:
+                    self._end(key, run, 'done')
+
+    def _all_present(self, key: tuple[str, int], run: _Run) -> bool:
+        present = self._gangs.get(_gang_key(*key), set())
+        if len(present) == run.members:
+            return True
+        # A gang that was complete before ends with its first member.
+        return run.left < 0
+
+    def _end(self, key: tuple[str, int], run: _Run, how: str) -> None:
+        self._remove(key, run, how)
+        self._newest_ended[key[0]] = key[1]
+        self._ended.append([next(self._numbers), *key, how, ''])
+        self._ended_some.set()
+        self._ended_some = asyncio.Event()
+
+    def _remove(self, key: tuple[str, int], run: _Run, how: str) -> None:
+        self._run_by_key.pop(key)
+        if run.members > 1 and how != 'done':
+            self._gangs.get(_gang_key(*key), set()).discard(key[0])
+        self._ledger.note_end(key[0], self.life, how)
+
+    def _leave(self, life: str) -> None:
+        self._store.put('keyed.servers', life, b'')
+
+
+def _gang_key(task: str, number: int) -> str:
+    return f'{task.rpartition(".")[0]}/{number}'
