Deny a job only as the owner of this moment

Change: an owner whose last confirmation is older than 0.25 s confirms before it denies; if it can't, the gateway asks on.

--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -193,12 +193,10 @@
             return self._clock() - self._started_at > _MEET_FOR
         if claim.name == self._table.me.name:
             return True
-        if self._read_at - self._still_since < _STILL_FOR:
-            return False
-        if self._table.owner_silent_for() > _SILENT_FOR:
-            return True
         assert self.pinger is not None
-        return self.pinger.owner_denials >= _DENIALS
+        silent = self._table.owner_silent_for() > _SILENT_FOR
+        unheard = silent or self.pinger.owner_denials >= _DENIALS
+        return unheard and self._read_at - self._still_since >= _STILL_FOR
 
     async def _try_to_own(self) -> None:
         epoch = self._table.claim.epoch
--- a/orchidrail/instance/peer_service.py
+++ b/orchidrail/instance/peer_service.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from orchidrail.store.relay import Caller, RawCall
-from orchidrail.types import RefusalCode, WorkCode
+from orchidrail.types import RefusalCode, Seconds, WorkCode
 from orchidrail.wire.messages import (
     Ack,
     AdviceGiven,
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from orchidrail.instance.ownership import Ownership
     from orchidrail.peers.table import PeerTable
+    from orchidrail.shard.owner import ShardOwner
 
 _decode_queue = msgspec.msgpack.Decoder(QueueSettings).decode
 _LEAVING = Refusal(code=RefusalCode.LEAVING, detail='stopping too')
@@ -41,6 +42,15 @@
     False: WorkCode.NOT_TAKEN,
     None: WorkCode.UNCERTAIN,
 }
+#: Wait for the store's word that this process still owns.
+_CONFIRM_WITHIN: Seconds = 0.6
+
+
+async def _unknown_job(owner: ShardOwner) -> WorkAnswer:
+    """Say that there is no such job only as the owner of this moment."""
+    if await owner.writer.confirm(_CONFIRM_WITHIN):
+        return WorkAnswer(code=WorkCode.NO_SUCH_JOB)
+    return _NOT_OWNER
 
 
 class PeerService:
@@ -103,7 +113,7 @@
             return _NOT_OWNER
         phase = owner.phase(message.job_id)
         if phase is None:
-            return WorkAnswer(code=WorkCode.NO_SUCH_JOB)
+            return await _unknown_job(owner)
         return WorkAnswer(code=WorkCode.OK, phase=int(phase))
 
     @_answer.register
@@ -116,7 +126,7 @@
         except ConnectionAbortedError:
             return WorkAnswer(code=WorkCode.UNCERTAIN)
         if phase is None:
-            return WorkAnswer(code=WorkCode.NO_SUCH_JOB)
+            return await _unknown_job(owner)
         return WorkAnswer(code=WorkCode.OK, phase=int(phase))
 
     @_answer.register
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -36,6 +36,9 @@
 _PACE: Seconds = 0.008
 #: An owner writes at least this often, so that it knows that it still owns.
 CONFIRM_EVERY: Seconds = 0.2
+#: A confirmation counts for this long. Others take over without being asked
+#: only from a journal that has stood still for 0.3 s.
+_CONFIRMED_FOR: Seconds = 0.25
 #: Most bytes of values put into one append; the store takes 2 MB in a call.
 _BATCH_BYTES = 1_000_000
 
@@ -122,6 +125,19 @@
         """Return for how long the ownership has not been confirmed."""
         return self._clock() - self.confirmed_at
 
+    async def confirm(self, within: Seconds) -> bool:
+        """Tell whether this owner still owns; ask the store if need be.
+
+        A process that was paused may have been replaced meanwhile.
+        """
+        if self.unconfirmed_for() < _CONFIRMED_FOR:
+            return not self.fenced.is_set()
+        commit = self.put(OWNER_KEY, encode(self.owner))
+        try:
+            return await asyncio.wait_for(commit.wait(), within)
+        except TimeoutError:
+            return False
+
     async def run(self) -> None:
         """Write batches until another owner is met."""
         while not self.fenced.is_set():
--- a/orchidrail/shard/pace.py
+++ b/orchidrail/shard/pace.py
@@ -5,8 +5,6 @@
 import math
 from enum import IntEnum
 
-import msgspec
-
 from orchidrail.types import QueueName, Seconds, WorkerId
 
 #: Weight of one task in a worker's mean. Estimates are off by half and more,
@@ -31,9 +29,10 @@
     FAR_SLOWER = 2
 
 
-class _Mean(msgspec.Struct):
-    value: float = 0
-    count: int = 0
+class _Mean:
+    def __init__(self) -> None:
+        self.value: float = 0
+        self.count = 0
 
     def note(self, value: float, weight: float) -> None:
         self.count += 1
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -309,8 +309,7 @@
                 self._learn(step, workers, advice)
         finally:
             step.permits.asking -= 1
-            held = [books for books in about if books.unhold(step.key)]
-            self._place_held(step, held)
+            self._place_held(step, about)
             self._state.wanted.set()
 
     def _learn(
@@ -326,12 +325,13 @@
         until = self._state.clock() + advice.valid
         step.permits.learn(workers, advice.ticket_by_worker, until)
 
-    def _place_held(self, step: StepState, held: list[WorkerBooks]) -> None:
+    def _place_held(self, step: StepState, about: list[WorkerBooks]) -> None:
         """Place on room that was kept, before a pass gives it to others.
 
         A wide gang would otherwise lose part of it each time, and its other
         tickets would run out meanwhile.
         """
+        held = [books for books in about if books.unhold(step.key)]
         now = self._state.clock()
         until = now + _TICKET_MARGIN
         usable = [
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -66,11 +66,14 @@
             time.time,
             InstanceMetrics(),
         )
-        self.runs = RunTracker(self.state, lambda: None, lambda: False, 0)
+        self.runs = RunTracker(self.state, self._note_fence, lambda: False, 0)
         self.desk = AdviceDesk(self._ask, time.monotonic)
         self.placer = Placer(self.state, self.runs, self.desk)
         self.questions: list[tuple[list[WorkerId], asyncio.Future[Advice]]] = []
 
+    def _note_fence(self) -> None:
+        self.fenced = True
+
     async def _ask(
         self,
         lane: InstanceId,
@@ -166,7 +169,9 @@
         async def scene(shard: _Scene) -> None:
             for number in range(24):
                 await shard.add_worker(f'w-{number}')
-            shard.desk.use_lanes([InstanceId(f'l-{n}') for n in range(12)])
+            shard.desk.use_lanes(
+                [InstanceId(f'l-{lane}') for lane in range(12)]
+            )
             spec = StepSpec(2, Size(20_000, 1), gang=True)
             shard.add(_make_job('a' * 16, spec, 1, advice=True))
             await asyncio.sleep(_SOON)
