--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -66,11 +66,14 @@
             time.time,
             InstanceMetrics(),
         )
-        self.runs = RunTracker(self.state, self._note_fence, lambda: False, 0)
+        self.runs = RunTracker(self.state, self._note_fence, self._never, 0)
         self.desk = AdviceDesk(self._ask, time.monotonic)
         self.placer = Placer(self.state, self.runs, self.desk)
         self.questions: list[tuple[list[WorkerId], asyncio.Future[Advice]]] = []
 
+    def _never(self) -> bool:
+        return False
+
     def _note_fence(self) -> None:
         self.fenced = True
 
