Count each failed run of an earlier owner, in whatever order the workers tell

A task failed twice under an owner that could not write, on two workers. The next owner heard of run 3 first and then ignored run 1 as older, counted one failure and started the task once more. Change: a task keeps which runs were judged; any other failed run counts, unless it was given up or an earlier owner had judged it. The first test failed before.

--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -32,8 +32,10 @@
         'checkpoint',
         'failures',
         'index',
+        'oldest_run',
         'phase',
         'run',
+        'settled_runs',
         'step',
         'worker',
     )
@@ -47,6 +49,10 @@
         self.worker = WorkerId('')
         self.failures = 0
         self.checkpoint = ''
+        #: Runs whose ends were taken, or that were given up.
+        self.settled_runs: set[RunNumber] = set()
+        #: Earlier runs ended under an owner before, which judged them.
+        self.oldest_run = RunNumber(0)
 
     @property
     def key(self) -> TaskKey:
@@ -73,6 +79,8 @@
         self.worker = row.worker
         self.failures = row.failures
         self.checkpoint = row.checkpoint
+        judged = self.phase is not TaskPhase.PLACED
+        self.oldest_run = RunNumber(row.run + 1) if judged else row.run
 
 
 class StepState:
@@ -86,8 +94,8 @@
         self.spec: StepSpec = job.spec.steps[number]
         self.key = f'{job.job_id}.{round_number}.{number}'
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
-        #: Latest gang run whose failure was counted; members share it.
-        self.failed_run = RunNumber(0)
+        #: Gang runs whose failure was counted; members share them.
+        self.failed_runs: set[RunNumber] = set()
         self.permits = Permits()
         #: Workers on which its tasks failed; others are tried first.
         self.failed_on: set[WorkerId] = set()
@@ -219,25 +227,29 @@
         ending: RunEnding,
         checkpoint: str,
     ) -> None:
-        """Note how a run ended; runs older than the latest are ignored.
+        """Note how a run ended.
 
         A newer run than is known was started by an earlier owner that could
-        not write it down.
+        not write it down. Its runs may end in any order here, and each failure
+        counts, but none of a run that was given up.
         """
-        if task.phase is TaskPhase.DONE or run < task.run:
+        if task.phase is TaskPhase.DONE or run < task.oldest_run:
             return
         if run > task.run:
             self.place(task, run, task.worker)
-        if checkpoint:
+        latest = run == task.run
+        if latest and checkpoint:
             task.checkpoint = checkpoint
-        if ending is RunEnding.DONE:
+        if latest and ending is RunEnding.DONE:
             self._succeed(task)
             return
-        if task.phase is TaskPhase.WAITING:
+        if run in task.settled_runs:
             return
-        task.phase = TaskPhase.WAITING
+        task.settled_runs.add(run)
+        if latest:
+            task.phase = TaskPhase.WAITING
         if ending in _ENDINGS_THAT_COUNT:
-            self._count_failure(task)
+            self._count_failure(task, run)
 
     def note_run(self, took: Seconds, worker: WorkerId) -> None:
         """Note how long a run took, to explain later what held the job up."""
@@ -267,11 +279,11 @@
         if self._all_done():
             self.phase = JobPhase.COMPLETED
 
-    def _count_failure(self, task: Task) -> None:
+    def _count_failure(self, task: Task, run: RunNumber) -> None:
         step = task.step
-        if step.spec.gang and step.failed_run == task.run:
+        if step.spec.gang and run in step.failed_runs:
             return
-        step.failed_run = task.run
+        step.failed_runs.add(run)
         members = step.tasks if step.spec.gang else [task]
         counted = max(member.failures for member in members) + 1
         for member in members:
--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -4,10 +4,22 @@
 
 from testtools import TestCase
 
-from orchidrail.types import JobId, QueueName, ServiceName, WorkerId
+from orchidrail.types import (
+    JobId,
+    QueueName,
+    RunNumber,
+    ServiceName,
+    WorkerId,
+)
 from orchidrail.work.job import Job, StepState
 from orchidrail.work.model import JobSpec, QueueSettings, Size, StepSpec
-from orchidrail.work.records import JobPhase, JobRecord, Progress, TaskPhase
+from orchidrail.work.records import (
+    JobPhase,
+    JobRecord,
+    Progress,
+    TaskPhase,
+    TaskRow,
+)
 from orchidrail.workers.port import RunEnding
 
 _WORKER = WorkerId('w-1')
@@ -136,3 +148,37 @@
         restored.restore(Progress(job.rows()))
         self.assertEqual(job.rows(), restored.rows())
         self.assertEqual(JobPhase.RUNNING, restored.phase)
+
+    def test_failures_under_an_earlier_owner_count_in_any_order(self) -> None:
+        job = make_job(StepSpec(1))
+        row = TaskRow(0, 0, 0, TaskPhase.PLACED, RunNumber(1), _WORKER)
+        job.restore(Progress([row]))
+        task = job.steps(0)[0].tasks[0]
+        job.end_run(task, RunNumber(3), RunEnding.FAILED, '')
+        self.assertIs(JobPhase.RUNNING, job.phase)
+        job.end_run(task, RunNumber(1), RunEnding.FAILED, '')
+        self.assertIs(JobPhase.FAILED, job.phase)
+
+    def test_the_failure_of_a_run_that_was_given_up_does_not_count(
+        self,
+    ) -> None:
+        job = make_job(StepSpec(1))
+        task = job.steps(0)[0].tasks[0]
+        job.place(task, RunNumber(1), _WORKER)
+        job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
+        job.place(task, RunNumber(2), _WORKER)
+        job.end_run(task, RunNumber(1), RunEnding.FAILED, '')
+        self.assertEqual(0, task.failures)
+
+    def test_an_end_judged_by_an_earlier_owner_is_not_counted_again(
+        self,
+    ) -> None:
+        job = make_job(StepSpec(1))
+        row = TaskRow(
+            0, 0, 0, TaskPhase.WAITING, RunNumber(2), _WORKER, failures=1
+        )
+        job.restore(Progress([row]))
+        task = job.steps(0)[0].tasks[0]
+        job.end_run(task, RunNumber(2), RunEnding.FAILED, '')
+        job.end_run(task, RunNumber(1), RunEnding.FAILED, '')
+        self.assertEqual(1, task.failures)
