--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,7 +50,7 @@
         )
 
     async def run(self, until: float) -> None:
-        """Begin faults until a time of the steady clock; wait for their ends."""
+        """Begin faults until a time of the steady clock; await their ends."""
         begun = []
         while time.monotonic() < until:
             fault = self._random.choice(self._kinds)
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import pathlib
 import tempfile
@@ -94,7 +95,7 @@
             for number in range(_WORKERS)
         ]
         self._links = [
-            Proxy(lambda port=_WORKER_PORT + number: (self._worker_host, port))
+            Proxy(functools.partial(self._worker_at, number))
             for number in range(_WORKERS)
         ]
         self._instances = [
@@ -139,6 +140,9 @@
                 callers.endings,
             )
 
+    def _worker_at(self, number: int) -> tuple[str, int]:
+        return self._worker_host, _WORKER_PORT + number
+
     async def _open(self, stack: AsyncExitStack) -> None:
         self._store.put('keyed.op', 'config', json.dumps(_CONFIG).encode())
         host, port = self._store_at
--- /dev/null
+++ b/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak, and a short run of it."""
--- /dev/null
+++ b/soak/tests/test_ledger.py
@@ -0,0 +1,67 @@
+"""Tests that the soak's judge notices what it is there for."""
+
+from __future__ import annotations
+
+import time
+
+from testtools import TestCase
+
+from soak.ledger import Ledger, SentJob
+
+_JOB = 'a' * 16
+_TASK = f'{_JOB}.0.0.0'
+_STEPS = [{'count': 1}, {'count': 1, 'afterRevision': [0]}]
+
+
+class LedgerTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ledger = Ledger()
+        self.job = SentJob(_JOB, 'text', _STEPS)
+        self.ledger.job_by_id[_JOB] = self.job
+
+    def assert_broken(self, rule: str) -> None:
+        rules = [line.partition(' ')[0] for line in self.ledger.broken]
+        self.assertEqual([rule], rules)
+
+    def test_a_run_beside_another(self) -> None:
+        self.ledger.note_start(_TASK, 'text', 'w-1')
+        self.ledger.note_start(_TASK, 'text', 'w-2')
+        self.assert_broken('TWICE')
+
+    def test_a_run_after_an_end_that_was_noted(self) -> None:
+        self.ledger.note_start(_TASK, 'text', 'w-1')
+        self.ledger.note_end(_TASK, 'w-1', 'done')
+        self.ledger.note_acknowledged(_TASK, 'done')
+        self.ledger.note_start(_TASK, 'text', 'w-2')
+        self.assert_broken('TWICE')
+
+    def test_a_step_before_the_one_it_needs(self) -> None:
+        self.ledger.note_start(f'{_JOB}.0.1.0', 'text', 'w-1')
+        self.assert_broken('ORDER')
+
+    def test_what_nobody_sent(self) -> None:
+        self.ledger.note_start(_TASK, 'other text', 'w-1')
+        self.assert_broken('UNASKED')
+
+    def test_a_start_after_a_cancel(self) -> None:
+        self.job.cancelled_at = time.monotonic() - 10
+        self.ledger.note_start(_TASK, 'text', 'w-1')
+        self.assert_broken('UNASKED')
+
+    def test_a_refused_job_that_ran(self) -> None:
+        self.ledger.note_start(_TASK, 'text', 'w-1')
+        self.ledger.judge_end()
+        self.assert_broken('REFUSED')
+
+    def test_an_accepted_job_that_is_denied_or_never_ends(self) -> None:
+        self.job.accepted = True
+        self.ledger.note_state(self.job, 410, '')
+        self.assert_broken('LOST')
+        self.ledger.broken.clear()
+        self.ledger.judge_end()
+        self.assert_broken('LOST')
+
+    def test_a_job_shown_as_completed_too_early(self) -> None:
+        self.ledger.note_state(self.job, 200, 'completed')
+        self.assert_broken('MIXED')
