--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 SECONDS ?= 60
 SEED ?= 1
 BREAK ?=
+SEEDS ?= 10
+JOBS ?= 2
 
-.PHONY: demo test lint types check-format prove bench capacity schema
+.PHONY: demo test lint types check-format prove bench capacity schema soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +42,9 @@
 		$(if $(BREAK),--broken $(BREAK))
 	$(if $(BREAK),,$(BIN)/python -m proving.real --seed $(SEED))
 
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS)
+
 bench: export PYTHONHASHSEED := 0
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.bench --seed $(SEED)
