--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -13,10 +13,12 @@
 from orchidrail.journal.writer import current_owner, take_over
 from orchidrail.peers.pinger import Pinger
 from orchidrail.peers.table import OwnerClaim, PeerTable
+from orchidrail.shard.authority import UNLOGGED_AFTER, doubt_until
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
 from orchidrail.types import Epoch, Seconds
 from orchidrail.wire.messages import PeerState
 from orchidrail.work.model import MemberInfo
+from orchidrail.work.records import LOGGED_KEY
 
 _log = structlog.get_logger()
 #: How often the owner's state is judged.
@@ -33,6 +35,11 @@
 #: An owner writes each `CONFIRM_EVERY` (0.2 s) or more often, which takes 6 ms:
 #: a journal that stood still for this long has no owner that can write.
 _STILL_FOR: Seconds = 0.3
+#: Silence seen by a reader that may have been one of `UNLOGGED_AFTER`: it
+#: reads twice a second, and an append takes up to 0.3 s.
+_GAP: Seconds = UNLOGGED_AFTER / 2
+#: Two such silences don't fit between reads that are closer.
+_ONE_GAP: Seconds = 2 * _GAP
 #: Processes that follow the journal, to take over at once; more would only
 #: read the same bytes, which have a price.
 _STANDBYS = 5
@@ -92,8 +99,12 @@
         self._clock = clock
         self._started_at = clock()
         self._read_at: Seconds = -READ_EVERY
-        #: The journal's newest record was not there yet at this time.
-        self._moved_after: Seconds = -math.inf
+        self._read_well_at: Seconds = -math.inf
+        #: When a read saw the journal move last.
+        self._moved_at: Seconds = -math.inf
+        #: When a silence ended in which an owner may have started work that
+        #: it has not written down since.
+        self._gap_ended_at: Seconds = -math.inf
         #: When the journal was first read as it was read last; infinite
         #: before a read has succeeded.
         self._still_since: Seconds = math.inf
@@ -165,16 +176,18 @@
         return self._table.owner_silent_for() > _STANDBYS_FAILED_AFTER
 
     async def _read(self) -> bool:
-        before, self._read_at = self._read_at, self._clock()
+        self._read_at = self._clock()
         end = self._view.end
+        logged = self._view.value_by_key.get(LOGGED_KEY)
         read = await self._view.catch_up()
-        moved = self._view.end != end
-        if end is not None and moved:
-            self._moved_after = before
         if not read:
             self._still_since = math.inf
-        elif moved or self._still_since == math.inf:
+        elif self._view.end != end:
+            self._note_moved(logged)
+        elif self._still_since == math.inf:
             self._still_since = self._read_at
+        if read:
+            self._read_well_at = self._read_at
         owner = current_owner(self._view)
         if owner is not None:
             self._table.learn_claim(
@@ -182,6 +195,26 @@
             )
         return read
 
+    def _note_moved(self, logged: bytes | None) -> None:
+        """Take that a read brought records; judge the silence before it."""
+        now = self._still_since = self._read_at
+        if now - self._moved_at >= _GAP:
+            self._gap_ended_at = now
+        told = self._view.value_by_key.get(LOGGED_KEY) != logged
+        if told and now - self._read_well_at < _ONE_GAP:
+            self._gap_ended_at = -math.inf
+        self._moved_at = now
+
+    def _silent_for(self) -> Seconds:
+        """Return the longest silence that may hide unlogged starts."""
+        now = self._clock()
+        assert self.ports is not None
+        gap_matters_for = doubt_until(0, self.ports.longest_lease)
+        gap_matters = now - self._gap_ended_at < gap_matters_for
+        if gap_matters or now - self._moved_at >= _GAP:
+            return math.inf
+        return now - self._moved_at
+
     def _owner_is_gone(self) -> bool:
         claim = self._table.claim
         if self.hurry.is_set():
@@ -223,8 +256,7 @@
             await self._read()
             return
         self.ports.metrics.taking_over.observe(self._clock() - began)
-        silent_for = self._clock() - self._moved_after
-        await self._own(ShardOwner(writer, self.ports, silent_for))
+        await self._own(ShardOwner(writer, self.ports, self._silent_for()))
 
     async def _own(self, owner: ShardOwner) -> None:
         epoch = owner.writer.owner.epoch
--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -16,6 +16,7 @@
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.types import Address, Epoch, InstanceId
 from orchidrail.work.model import MemberInfo
+from orchidrail.work.records import LOGGED_KEY
 
 _TOPIC = Topic('journal')
 _SOON = 2
@@ -96,6 +97,33 @@
 
         self._run(lose())
 
+    def test_what_was_done_in_a_silence_is_told_once_it_is_written(
+        self,
+    ) -> None:
+        async def be_silent() -> None:
+            writer = await self._take('a', 0)
+            writing = asyncio.create_task(writer.run())
+            await writer.put('x', b'1').wait()
+            self.store.fault = StoreFault.REFUSES
+            first = writer.put('x', b'2')
+            await asyncio.sleep(0.05)
+            later = writer.put('x', b'3')
+            writer.confirmed_at -= 2
+            self.store.fault = None
+            await first.wait()
+            view = self._view()
+            await view.catch_up()
+            # The batch from before the silence is there, the rest may not be.
+            self.assertEqual(b'2', view.value_by_key['x'])
+            self.assertNotIn(LOGGED_KEY, view.value_by_key)
+            await later.wait()
+            await view.catch_up()
+            self.assertEqual(b'3', view.value_by_key['x'])
+            self.assertIn(LOGGED_KEY, view.value_by_key)
+            writing.cancel()
+
+        self._run(be_silent())
+
     def test_an_append_that_was_swallowed_is_sent_again(self) -> None:
         async def swallow() -> None:
             writer = await self._take('a', 0)
