--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -260,13 +260,8 @@
 
 async def _all_written(writes: list[Awaitable[bool]]) -> bool:
     """Wait a while for writes; False if one is not in the journal by then."""
-    if not writes:
-        return True
     try:
-        outcomes = await asyncio.wait_for(
-            asyncio.gather(*writes),
-            _JOURNAL_WAIT,
-        )
-    except (TimeoutError, asyncio.TimeoutError):
+        async with asyncio.timeout(_JOURNAL_WAIT):
+            return all([await write for write in writes])
+    except TimeoutError:
         return False
-    return all(outcomes)
