--- a/orchidrail/instance/settings.py
+++ b/orchidrail/instance/settings.py
@@ -14,24 +14,18 @@
     ----------
     longest_lease : float
         Workers cut longer leases to this.
-    gang_wait : float
-        A gang's first member waits so long for the others.
     grace : float
         From the request to stop until the process is killed.
     status_kept : float
         For so long an ended job's state must be known.
     stop_takes : float
         A run that is told to stop is gone after this.
-    far_factor : float
-        How much longer a task takes far from its data.
     """
 
     longest_lease: Seconds = 6
-    gang_wait: Seconds = 3
     grace: Seconds = 6
     status_kept: Seconds = 120
     stop_takes: Seconds = 1
-    far_factor: float = 2
 
 
 class InstanceSettings(msgspec.Struct, frozen=True):
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -33,11 +33,9 @@
 #: Field of `Bounds` and divisor, by the name of a line.
 _BOUND_BY_KEY = {
     'maxHoldMs': ('longest_lease', _MILLIS),
-    'gang_ms': ('gang_wait', _MILLIS),
     'gracePeriodS': ('grace', 1),
     'status_s': ('status_kept', 1),
     'stop_ms': ('stop_takes', _MILLIS),
-    'far_x': ('far_factor', 1),
 }
 
 
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -288,8 +288,8 @@
                 return
             answer = await books.session.stop(run.key)
             if answer.result is OrderResult.TAKEN:
-                # The worker will not start the run any more, and what runs
-                # is not listed while it stops, but takes room.
+                # The worker will not start the run any more; what runs takes
+                # room until it has stopped.
                 run.confirmed_at = self._state.clock() + self._stop_takes
             if answer.result is OrderResult.FENCED:
                 return
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -188,15 +188,6 @@
                 if all(steps[earlier].done for earlier in step.spec.after):
                     yield step
 
-    def next_due(self, now: Seconds) -> Seconds | None:
-        """Return the next time after `now` at which a round falls due."""
-        times = (
-            self.spec.due(number)
-            for number in range(self.spec.rounds)
-            if self.spec.due(number) > now
-        )
-        return next(times, None)
-
     def find_task(
         self,
         round_number: int,
--- a/orchidrail/work/model.py
+++ b/orchidrail/work/model.py
@@ -14,8 +14,6 @@
     ServiceName,
 )
 
-_MILLIS = 1000
-
 
 class Size(NamedTuple):
     """Room in whole units, so that sums are exact.
--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -135,7 +135,6 @@
         self.assertEqual([], list(job.open_steps(99)))
         rounds = [step.round_number for step in job.open_steps(111)]
         self.assertEqual([0, 1], rounds)
-        self.assertEqual(120, job.next_due(111))
 
     def test_progress_survives_the_journal(self) -> None:
         steps = StepSpec(3, size=Size(5)), StepSpec(1, after=(0,))
