--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -40,9 +40,6 @@
 _GAP: Seconds = UNLOGGED_AFTER / 2
 #: Two such silences don't fit between reads that are closer.
 _ONE_GAP: Seconds = 2 * _GAP
-#: Processes that follow the journal, to take over at once; more would only
-#: read the same bytes, which have a price.
-_STANDBYS = 5
 #: Silence of the owner after which the others follow the journal too.
 _STANDBYS_FAILED_AFTER: Seconds = 2.5
 #: Wait at the first start, in which the processes meet (they start within
@@ -170,7 +167,18 @@
         return silent or self.pinger.owner_denials > 0
 
     def _stands_by(self) -> bool:
-        return self._better(by_epoch=False) < _STANDBYS
+        """Whether this process follows the journal, to take over at once.
+
+        The best placed of each zone does: more would only read the same
+        bytes, which have a price.
+        """
+        mine = self._place(self._table.me, 0)
+        owner = self._table.claim.name
+        return not any(
+            self._place(member, 0) < mine
+            for member in self._table.heard()
+            if member.zone == self._table.me.zone and member.name != owner
+        )
 
     def _standbys_failed(self) -> bool:
         return self._table.owner_silent_for() > _STANDBYS_FAILED_AFTER
@@ -312,23 +320,19 @@
 
     def _turn(self) -> int:
         """Return how many candidates go before this process."""
-        return min(self._better(by_epoch=True), _MOST_TURNS)
-
-    def _better(self, *, by_epoch: bool) -> int:
-        """Count the candidates that suit better: stronger, then by hash."""
         claim = self._table.claim
-        salt = claim.epoch if by_epoch else 0
-
-        def place(member: MemberInfo) -> tuple[float, int]:
-            digest = xxhash.xxh64_intdigest(f'{member.name}/{salt}'.encode())
-            return -member.speed, digest
-
-        mine = place(self._table.me)
-        return sum(
-            1
+        mine = self._place(self._table.me, claim.epoch)
+        before = sum(
+            self._place(member, claim.epoch) < mine
             for member in self._table.heard()
-            if member.name != claim.name and place(member) < mine
+            if member.name != claim.name
         )
+        return min(before, _MOST_TURNS)
+
+    def _place(self, member: MemberInfo, salt: int) -> tuple[float, int]:
+        """Return a candidate's place, least first: by strength, then hash."""
+        digest = xxhash.xxh64_intdigest(f'{member.name}/{salt}'.encode())
+        return -member.speed, digest
 
 
 def _unknown() -> bool:
--- a/orchidrail/instance/tests/test_ownership.py
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -217,6 +217,20 @@
         self.patch(ownership, '_STRONGER_FOR', 0.2)
         self.play(scene)
 
+    def test_one_process_of_a_zone_follows_the_journal(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: bool(self.owners(by_name)))
+            await asyncio.sleep(_SOON * 2)
+            others = [
+                process.ownership
+                for name, process in by_name.items()
+                if name not in self.owners(by_name)
+            ]
+            following = [other for other in others if other._stands_by()]
+            self.assertEqual(1, len(following))
+
+        self.play(scene)
+
     def test_a_silence_is_remembered_until_its_starts_are_written(
         self,
     ) -> None:
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -394,12 +394,14 @@
     ) -> None:
         spec = task.step.spec
         took = self._state.clock() - run.confirmed_at
-        if spec.gang or task.checkpoint or not math.isfinite(took):
+        if not math.isfinite(took):
+            return
+        task.step.job.note_run(took, books.worker)
+        if spec.gang or task.checkpoint:
             return
         paces = self._state.paces
         paces.note(books.worker, task.step.job.queue.name, took, spec.estimate)
         books.pace = paces.of(books.worker)
-        task.step.job.note_run(took, books.worker)
 
     def _judge(
         self,
