--- a/orchidrail/platform/callers.py
+++ b/orchidrail/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import string
 from collections.abc import Awaitable, Callable
@@ -114,7 +115,12 @@
             return _text(HTTPStatus.NOT_FOUND, 'a job needs an id')
         config = self._config()
         assert config is not None
-        body = await _read_body(request, config.limits.body_bytes)
+        patience = _patience(request, target.queue)
+        try:
+            async with asyncio.timeout(patience):
+                body = await _read_body(request, config.limits.body_bytes)
+        except TimeoutError:
+            return _text(HTTPStatus.REQUEST_TIMEOUT, 'the body did not come')
         if body is None:
             return _text(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
