--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -162,6 +162,7 @@
                 leaves_in=entry.leaves_in,
             )
             self._state.wanted.set()
+            self._state.keep_worker(entry)
         books.entry = entry
 
     def _open_session(self, entry: WorkerEntry) -> None:
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -21,7 +21,8 @@
 from orchidrail.workers.port import Advice
 
 _log = structlog.get_logger()
-#: Least time between two passes.
+#: Least time between two passes; they take at most half of all time, so that
+#: orders and looks go on beside them.
 _PACE: Seconds = 0.004
 #: Passes come at least this often, for times that fall due.
 _LOOK_EVERY: Seconds = 0.1
@@ -74,8 +75,10 @@
             except (TimeoutError, asyncio.TimeoutError):
                 self._look_at_timed_jobs()
             self._state.wanted.clear()
+            began = self._state.clock()
             self.place_all()
-            await asyncio.sleep(_PACE)
+            took = self._state.clock() - began
+            await asyncio.sleep(max(_PACE, took))
 
     def close(self) -> None:
         """Give up all questions in progress."""
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -19,7 +19,7 @@
 from orchidrail.types import Address, Epoch, InstanceId
 from orchidrail.work.model import MemberInfo
 from orchidrail.work.records import encode
-from orchidrail.workers.port import WorkerEntry
+from orchidrail.workers.port import WorkerEntry, WorkerState
 from orchidrail.workers.tests.fakes import make_entry
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
@@ -100,3 +100,24 @@
             self.assertTrue(books.open(time.monotonic()))
 
         self.play(scene)
+
+    def test_the_next_owner_knows_which_worker_leaves(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            leaving = msgspec.structs.replace(
+                make_entry(),
+                state=WorkerState.DRAINING,
+            )
+            record = KeyedRecord(leaving.worker, encode(leaving))
+            await self.store.append(_TOPIC, [record])
+            await asyncio.sleep(_READ)
+            # Its entry lapses, and the owner is replaced.
+            await self.list_worker(listed=False)
+            following = await self.take(1)
+            running = asyncio.create_task(following.run())
+            await asyncio.sleep(_READ)
+            books = following.state.books_by_worker[leaving.worker]
+            self.assertTrue(books.session.reachable)
+            self.assertFalse(books.open(time.monotonic()))
+            running.cancel()
+
+        self.play(scene)
