--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -205,7 +205,8 @@
 
     def _note_moved(self, logged: bytes | None) -> None:
         """Take that a read brought records; judge the silence before it."""
-        now = self._still_since = self._read_at
+        now = self._read_at
+        self._still_since = now
         if now - self._moved_at >= _GAP:
             self._gap_ended_at = now
         told = self._view.value_by_key.get(LOGGED_KEY) != logged
