--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -18,7 +18,6 @@
 from orchidrail.types import Epoch, Seconds
 from orchidrail.wire.messages import PeerState
 from orchidrail.work.model import MemberInfo
-from orchidrail.work.records import LOGGED_KEY
 
 _log = structlog.get_logger()
 #: How often the owner's state is judged.
@@ -38,8 +37,10 @@
 #: Silence seen by a reader that may have been one of `UNLOGGED_AFTER`: it
 #: reads twice a second, and an append takes up to 0.3 s.
 _GAP: Seconds = UNLOGGED_AFTER / 2
-#: Two such silences don't fit between reads that are closer.
-_ONE_GAP: Seconds = 2 * _GAP
+#: Reads that must see the journal move after a silence: the first batch may be
+#: from before it, the next has all that was done meanwhile, and a batch of more
+#: than 1 MB comes in two.
+_MOVES_AFTER_GAP = 2
 #: Silence of the owner after which the others follow the journal too.
 _STANDBYS_FAILED_AFTER: Seconds = 2.5
 #: Wait at the first start, in which the processes meet (they start within
@@ -96,12 +97,12 @@
         self._clock = clock
         self._started_at = clock()
         self._read_at: Seconds = -READ_EVERY
-        self._read_well_at: Seconds = -math.inf
         #: When a read saw the journal move last.
         self._moved_at: Seconds = -math.inf
         #: When a silence ended in which an owner may have started work that
-        #: it has not written down since.
+        #: it has not written down since, and how often it has written then.
         self._gap_ended_at: Seconds = -math.inf
+        self._moves_after_gap = 0
         #: When the journal was first read as it was read last; infinite
         #: before a read has succeeded.
         self._still_since: Seconds = math.inf
@@ -186,16 +187,13 @@
     async def _read(self) -> bool:
         self._read_at = self._clock()
         end = self._view.end
-        logged = self._view.value_by_key.get(LOGGED_KEY)
         read = await self._view.catch_up()
         if not read:
             self._still_since = math.inf
         elif self._view.end != end:
-            self._note_moved(logged)
+            self._note_moved()
         elif self._still_since == math.inf:
             self._still_since = self._read_at
-        if read:
-            self._read_well_at = self._read_at
         owner = current_owner(self._view)
         if owner is not None:
             self._table.learn_claim(
@@ -203,14 +201,16 @@
             )
         return read
 
-    def _note_moved(self, logged: bytes | None) -> None:
+    def _note_moved(self) -> None:
         """Take that a read brought records; judge the silence before it."""
         now = self._read_at
         self._still_since = now
         if now - self._moved_at >= _GAP:
             self._gap_ended_at = now
-        told = self._view.value_by_key.get(LOGGED_KEY) != logged
-        if told and now - self._read_well_at < _ONE_GAP:
+            self._moves_after_gap = 0
+        else:
+            self._moves_after_gap += 1
+        if self._moves_after_gap >= _MOVES_AFTER_GAP:
             self._gap_ended_at = -math.inf
         self._moved_at = now
 
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -23,13 +23,7 @@
     Uncertain,
 )
 from orchidrail.types import Epoch, Offset, Seconds
-from orchidrail.work.records import (
-    LOGGED_KEY,
-    OWNER_KEY,
-    OwnerRecord,
-    decode_owner,
-    encode,
-)
+from orchidrail.work.records import OWNER_KEY, OwnerRecord, decode_owner, encode
 
 if TYPE_CHECKING:
     from orchidrail.journal.follower import JournalView
@@ -42,9 +36,6 @@
 _PACE: Seconds = 0.008
 #: An owner writes at least this often, so that it knows that it still owns.
 CONFIRM_EVERY: Seconds = 0.2
-#: Silence after which the next owner is told once all is written; well below
-#: the time after which an owner starts work unlogged (2 s).
-_TOLD_AFTER: Seconds = 1.0
 #: A confirmation counts for this long. Others take over without being asked
 #: only from a journal that has stood still for 0.3 s.
 _CONFIRMED_FOR: Seconds = 0.25
@@ -120,8 +111,6 @@
         self._in_flight = Commit()
         self._in_flight.decide(committed=True)
         self._wanted = asyncio.Event()
-        #: Whether what was done in a long silence may not be written yet.
-        self._behind = False
 
     def put(self, key: str, value: bytes) -> Commit:
         """Write a value soon; an empty one removes the key."""
@@ -169,11 +158,6 @@
             self._value_by_key.setdefault(OWNER_KEY, encode(self.owner))
 
     async def _write_batch(self) -> None:
-        if self._behind:
-            # What was put during the silence is in this batch, this after it.
-            self._behind = False
-            told = self.owner.epoch, self.confirmed_at
-            self._value_by_key[LOGGED_KEY] = encode(told)
         records = [
             KeyedRecord(key, value) for key, value in self._value_by_key.items()
         ]
@@ -202,8 +186,6 @@
             if decided is not None:
                 self.trouble = ''
                 if decided:
-                    silent_for = sent_at - self.confirmed_at
-                    self._behind = self._behind or silent_for > _TOLD_AFTER
                     self.confirmed_at = sent_at
                 return decided
             self.trouble = 'no append taken'
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -20,9 +20,6 @@
 
 #: Key of the record that names the shard's owner.
 OWNER_KEY = 'owner'
-#: Key of a record that changes once an owner that could not write for a while
-#: has written all that it did meanwhile.
-LOGGED_KEY = 'logged'
 _JOB_PREFIX = 'j'
 _PROGRESS_PREFIX = 'p'
 _WORKER_PREFIX = 'w'
