--- a/soak/system.py
+++ b/soak/system.py
@@ -53,6 +53,8 @@
         self._log = folder / f'{name}.log'
         self._process: asyncio.subprocess.Process | None = None
         self._salt = 0
+        #: Faults overlap; without it two of them might start a process each.
+        self._starting = asyncio.Lock()
 
     async def open(self, stack: AsyncExitStack) -> None:
         """Start the proxy and the process; the stack ends both."""
@@ -78,8 +80,11 @@
 
     async def start(self) -> None:
         """Start the process unless it runs."""
-        if self._process is not None and self._process.returncode is None:
-            return
+        async with self._starting:
+            if self._process is None or self._process.returncode is not None:
+                await self._spawn()
+
+    async def _spawn(self) -> None:
         with self._log.open('ab') as output:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -112,8 +117,3 @@
             await asyncio.wait_for(self._process.wait(), _GRACE)
         except TimeoutError:
             await self.kill()
-
-    @property
-    def exit_code(self) -> int | None:
-        """How the process ended, None while it runs."""
-        return None if self._process is None else self._process.returncode
