Split questions for advice only over lanes that are idle

A part costs 0.54 s besides its 12 workers' 0.09 s, tickets ran out before the last part was answered, and steps asked again. Change: a step asks through one lane for each four that are idle, through one when none is. Cells of 6 or 7 machines ask as before. The test failed before.

--- a/orchidrail/shard/advice_desk.py
+++ b/orchidrail/shard/advice_desk.py
@@ -81,9 +81,10 @@
         self._deal()
 
     @property
-    def lane_count(self) -> int:
-        """How many machines may be asked through."""
-        return len(self._lanes)
+    def idle_lanes(self) -> int:
+        """How many machines could be asked through at once now."""
+        taken = len(self._busy) + len(self._waiting)
+        return max(0, len(self._lanes) - taken)
 
     async def ask(self, question: Question) -> Advice | None:
         """Return the advice, or None if it can't be had."""
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -31,8 +31,9 @@
 #: Fewer workers in one call make it hardly shorter: what a call takes for
 #: itself is that of about 70 workers on the users' sites.
 _LEAST_PART = 12
-#: A step asks through one more lane for each so many that there are.
-_LANES_FOR_PART = 6
+#: A step asks through one lane for each so many that are idle: each call has a
+#: cost of its own, and busy lanes would only be busier.
+_LANES_FOR_PART = 4
 #: A ticket must hold for this long to be used: the start must get there.
 _TICKET_MARGIN: Seconds = 0.15
 #: Steps that wait with room kept free for them, most urgent first.
@@ -219,10 +220,10 @@
         unknown.sort(key=lambda books: -books.free.millicores)
         copies = max(1, step.spec.charged.times_in(unknown[0].free))
         useful = self._approvals.needed(step.job.queue.name, missing / copies)
-        lanes = self._desk.lane_count
-        most = _ASKED_AT_ONCE * max(1, lanes // _LANES_FOR_PART)
+        parts = max(1, self._desk.idle_lanes // _LANES_FOR_PART)
+        most = _ASKED_AT_ONCE * parts
         about = unknown[: min(most, max(_ASKED_AT_ONCE, useful))]
-        for part in _split(about, lanes):
+        for part in _split(about, parts):
             self._ask(rank, step, part)
 
     def _launch_or_renew(
@@ -356,11 +357,11 @@
 
 def _split(
     about: list[WorkerBooks],
-    lanes: int,
+    most_parts: int,
 ) -> list[list[WorkerBooks]]:
-    """Deal workers out to several calls, if there are lanes for them."""
-    parts = min(math.ceil(len(about) / _LEAST_PART), lanes // _LANES_FOR_PART)
-    return [about[first::parts] for first in range(parts)] if parts else [about]
+    """Deal workers out to several calls that are worth their while."""
+    parts = min(math.ceil(len(about) / _LEAST_PART), most_parts)
+    return [about[first::parts] for first in range(parts)]
 
 
 def _spare(step: StepState, usable: list[WorkerBooks]) -> list[WorkerBooks]:
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -182,3 +182,19 @@
             self.assertEqual([12, 12], asked)
 
         self.play(scene)
+
+    def test_a_step_asks_through_one_lane_while_the_others_are_busy(
+        self,
+    ) -> None:
+        async def scene(shard: _Scene) -> None:
+            for number in range(24):
+                await shard.add_worker(f'w-{number}')
+            shard.desk.use_lanes([InstanceId(f'l-{lane}') for lane in range(9)])
+            spec = StepSpec(2, Size(20_000, 1), gang=True)
+            for name in ('a', 'b'):
+                shard.add(_make_job(name * 16, spec, 1, advice=True))
+                await asyncio.sleep(_SOON)
+            asked = [len(workers) for workers, _ in shard.questions]
+            self.assertEqual([12, 12, 24], asked)
+
+        self.play(scene)
