--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -15,6 +15,7 @@
     (
         'configuration in force',
         'handing over',
+        'nobody heard, letting go',
         'nobody took over',
         'owner changed',
         'owner ends',
@@ -24,6 +25,8 @@
         'stopping',
         'store lost',
         'store regained',
+        'worker entry is back',
+        'worker entry is gone',
         'worker given up',
         'worker lost',
         'worker rests',
