Append at the owner's own end, however far its process has read

Ruled out: a fence at the worker (all orders came from owners it allowed), a listing that left the run out. Change: the writer keeps the end of its own records and names it at each try; a take-over too names the end that it read before its first try. A read that is older than the copy does not move it back. A call that may have got through by the relay stays uncertain when the direct way then fails for sure. The first of the tests fails with the end of the copy.

--- a/orchidrail/instance/tests/test_ownership.py
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -21,7 +21,7 @@
 from orchidrail.store import KeyedRecord, Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.testing import AsyncTestCase, ScriptedTransport
-from orchidrail.types import Address, CallFailure, Epoch, InstanceId
+from orchidrail.types import Address, CallFailure, Epoch, InstanceId, Offset
 from orchidrail.wire.messages import Message, PeerState
 from orchidrail.work.model import MemberInfo
 from orchidrail.work.records import OwnerRecord
@@ -242,15 +242,17 @@
                 JournalView(store, Topic('journal')),
                 OwnerRecord(InstanceId('b'), 'b-1', Address('b:1'), Epoch(1)),
                 lambda: self.now,
+                Offset(0),
             )
             following._clock = lambda: self.now
 
             async def write(key: str, passed: float) -> None:
                 self.now += passed
                 await writer.view.catch_up()
-                await append_once(
-                    writer.view, [KeyedRecord(key, b'%f' % passed)]
-                )
+                end = writer.view.end
+                assert end is not None
+                record = KeyedRecord(key, b'%f' % passed)
+                await append_once(writer.view, [record], end)
                 await following._read()
 
             # A process that has just started may have missed one too.
--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -11,10 +11,10 @@
 from testtools.matchers import HasLength
 
 from orchidrail.journal import JournalView, JournalWriter, TakeOverError
-from orchidrail.journal.writer import current_owner, take_over
-from orchidrail.store import Topic
+from orchidrail.journal.writer import append_once, current_owner, take_over
+from orchidrail.store import KeyedRecord, Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
-from orchidrail.types import Address, Epoch, InstanceId
+from orchidrail.types import Address, Epoch, InstanceId, Offset
 from orchidrail.work.model import MemberInfo
 
 _TOPIC = Topic('journal')
@@ -84,6 +84,38 @@
 
         self._run(replace())
 
+    def test_a_former_owner_that_reads_on_writes_nothing_more(self) -> None:
+        async def replace() -> None:
+            first = await self._take('a', 0)
+            writing = asyncio.create_task(first.run())
+            self.store.fault = StoreFault.REFUSES
+            late = first.put('x', b'1')
+            await asyncio.sleep(0.05)
+            self.store.fault = None
+            second = await self._take('b', 1)
+            # Its process looks a job up, so its copy goes past the take-over.
+            await first.view.catch_up()
+            self.assertFalse(await late.wait())
+            await writing
+            await second.view.catch_up()
+            self.assertNotIn('x', second.view.value_by_key)
+
+        self._run(replace())
+
+    def test_a_take_over_that_is_retried_yields_to_another(self) -> None:
+        async def contend() -> None:
+            view = self._view()
+            await view.catch_up()
+            self.store.fault = StoreFault.REFUSES
+            record = [KeyedRecord('owner', b'late')]
+            self.assertIsNone(await append_once(view, record, Offset(0)))
+            self.store.fault = None
+            await self._take('b', 0)
+            await view.catch_up()
+            self.assertFalse(await append_once(view, record, Offset(0)))
+
+        self._run(contend())
+
     def test_an_append_whose_answer_was_lost_is_found(self) -> None:
         async def lose() -> None:
             writer = await self._take('a', 0)
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -87,6 +87,8 @@
     owner : OwnerRecord
     clock : callable
         Monotonic seconds.
+    end : int
+        Offset that follows the owner's own record.
     """
 
     def __init__(
@@ -94,10 +96,14 @@
         view: JournalView,
         owner: OwnerRecord,
         clock: Callable[[], Seconds],
+        end: Offset,
     ) -> None:
         """Start right after the take-over."""
         self.view = view
         self.owner = owner
+        #: End of this owner's own records. The view's end won't do: others in
+        #: this process read on, past the record of the next owner.
+        self._end = end
         self.fenced = asyncio.Event()
         #: When the last append that succeeded was sent.
         self.confirmed_at = clock()
@@ -182,9 +188,10 @@
         """Append, however long it takes; False if another owner wrote."""
         while True:
             sent_at = self._clock()
-            decided = await append_once(self.view, records)
+            decided = await append_once(self.view, records, self._end)
             if decided is not None:
                 self.trouble = ''
+                self._end = Offset(self._end + len(records))
                 if decided:
                     self.confirmed_at = sent_at
                 return decided
@@ -195,8 +202,9 @@
 async def append_once(
     view: JournalView,
     records: list[KeyedRecord],
+    expected: Offset,
 ) -> bool | None:
-    """Try to append at the end that was read.
+    """Try to append at the end `expected`, the same at each try.
 
     Returns
     -------
@@ -204,21 +212,20 @@
     else's are, None if that isn't known yet: send the same records again.
     """
     async with view.lock:
-        return await _append_locked(view, records)
+        return await _append_locked(view, records, expected)
 
 
 async def _append_locked(
     view: JournalView,
     records: list[KeyedRecord],
+    expected: Offset,
 ) -> bool | None:
-    assert view.end is not None
-    expected = view.end
     outcome = await view.store.append(view.topic, records, expected)
     if isinstance(outcome, Appended):
         view.apply(records, outcome.end)
         return True
     if isinstance(outcome, (EndMoved, Uncertain)):
-        return await _look_whose(view, records)
+        return await _look_whose(view, records, expected)
     _log.info('append not taken', reason=outcome.reason, at=expected)
     return None
 
@@ -226,15 +233,17 @@
 async def _look_whose(
     view: JournalView,
     records: list[KeyedRecord],
+    expected: Offset,
 ) -> bool | None:
-    assert view.end is not None
-    page = await view.store.read(view.topic, view.end)
+    page = await view.store.read(view.topic, expected)
     if isinstance(page, Trimmed):
         return False
     if isinstance(page, Unavailable) or not page.records:
         return None
     found = page.records[: len(records)]
-    view.apply(page.records, Offset(view.end + len(page.records)))
+    end = Offset(expected + len(page.records))
+    if view.end is None or end > view.end:
+        view.apply(page.records, end)
     return found == records
 
 
@@ -269,14 +278,16 @@
         Epoch(epoch + 1),
     )
     record = KeyedRecord(OWNER_KEY, encode(owner))
+    assert view.end is not None
+    expected = view.end
     decided = None
     while decided is None:
-        decided = await append_once(view, [record])
+        decided = await append_once(view, [record], expected)
         if decided is None:
             await asyncio.sleep(_RETRY_PAUSE)
     if not decided:
         raise TakeOverError('another process wrote first')
-    return JournalWriter(view, owner, clock)
+    return JournalWriter(view, owner, clock, Offset(expected + 1))
 
 
 def current_owner(view: JournalView) -> OwnerRecord | None:
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -142,7 +142,8 @@
         self._note('relay', relayed.status)
         if relayed.usable:
             return relayed
-        return await self._call_directly(call)
+        direct = await self._call_directly(call)
+        return direct if direct.usable else _less_certain(direct, relayed)
 
     async def _call_directly(self, call: RawCall) -> RawAnswer:
         patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
@@ -171,5 +172,9 @@
                 detail=direct.body[:_SHOWN].decode(errors='replace'),
             )
             self.lost = True
-        # A call that may have got through by either way stays uncertain.
-        return max(direct, relayed, key=lambda one: (one.reached, one.status))
+        return _less_certain(direct, relayed)
+
+
+def _less_certain(one: RawAnswer, other: RawAnswer) -> RawAnswer:
+    """Return the answer of a call that may have got through by either way."""
+    return max(one, other, key=lambda answer: (answer.reached, answer.status))
--- a/orchidrail/store/tests/test_relay.py
+++ b/orchidrail/store/tests/test_relay.py
@@ -92,6 +92,14 @@
         self.relayed = RawAnswer(0, reached=False)
         self.assertTrue(self.call().reached)
 
+    def test_a_silent_way_beside_a_relay_stays_uncertain_too(self) -> None:
+        self.direct = RawAnswer(0)
+        self.call()
+        self.direct = RawAnswer(0, reached=False)
+        self.relayed = RawAnswer(0, reached=True)
+        self.now += 1
+        self.assertTrue(self.call().reached)
+
     def test_an_error_of_the_call_itself_is_passed_on(self) -> None:
         self.direct = RawAnswer(412)
         self.assertEqual(412, self.call().status)
