Acknowledge a repeated cancel only once the first is written

The store was down from 31.0 s. The owner was replaced before it wrote, and the next one ran the job again. Ruled out: a start without a record (run 2 came 26 s later from a restored job). Change: what is said of a job whose end is on its way waits for it; a cancel that can't be written stays in doubt. Both tests failed before.

--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -22,6 +22,7 @@
 from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, QueueSettings
 from orchidrail.work.records import (
+    ENDED_PHASES,
     EndedRecord,
     JobPhase,
     JobRecord,
@@ -214,7 +215,7 @@
         """Cancel a job; return its phase then, None if there is none."""
         job = self.state.job_by_id.get(job_id)
         if job is None:
-            return self.phase(job_id)
+            return await self._written_phase(job_id)
         job.phase = JobPhase.CANCELLED
         commit = self.state.save(job)
         self.state.job_by_id.pop(job_id, None)
@@ -225,6 +226,19 @@
             raise ConnectionAbortedError(f'cancel of {job_id!r} not written')
         return JobPhase.CANCELLED
 
+    async def _written_phase(self, job_id: JobId) -> JobPhase | None:
+        """Return the phase of a job that is no longer open here.
+
+        Its end may still be on its way to the journal, from which the next
+        owner would take the job for open.
+        """
+        phase = self.phase(job_id)
+        if phase is None or phase in ENDED_PHASES:
+            return phase
+        if not await self.writer.flush():
+            raise ConnectionAbortedError(f'end of {job_id!r} not written')
+        return self.phase(job_id)
+
     def waiting_by_queue(self) -> Counter[str]:
         """Count the jobs of each queue none of whose tasks has begun."""
         return Counter(
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -130,3 +130,37 @@
             self.assertIsNone(following.phase(JobId('0' * 16)))
 
         self.play(scene)
+
+    def test_a_cancel_that_is_repeated_waits_for_the_journal_too(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await owner.submit(_JOB, _QUEUE, _SPEC)
+            self.store.fault = StoreFault.REFUSES
+            first = asyncio.create_task(owner.cancel(_JOB))
+            await asyncio.sleep(0.05)
+            again = asyncio.create_task(owner.cancel(_JOB))
+            await asyncio.sleep(0.1)
+            self.assertFalse(again.done())
+            self.store.fault = None
+            self.assertEqual(JobPhase.CANCELLED, await first)
+            self.assertEqual(JobPhase.CANCELLED, await again)
+
+        self.play(scene)
+
+    def test_a_cancel_that_is_not_written_is_not_acknowledged(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await owner.submit(_JOB, _QUEUE, _SPEC)
+            self.store.fault = StoreFault.REFUSES
+            first = asyncio.create_task(owner.cancel(_JOB))
+            await asyncio.sleep(0.05)
+            again = asyncio.create_task(owner.cancel(_JOB))
+            self.store.fault = None
+            following = await self.take(1)
+            self.assertEqual(JobPhase.QUEUED, following.phase(_JOB))
+            for outcome in await asyncio.gather(
+                first,
+                again,
+                return_exceptions=True,
+            ):
+                self.assertIsInstance(outcome, ConnectionAbortedError)
+
+        self.play(scene)
