Tell of each job what it waited for; a table of what held late jobs up

Cause: a late job's lines told when it was placed, not why so late. The owner now notes at each pass what a step that was not placed waits for (advice, room, workers, doubt, a lost worker) and tells the sums when the job is over, with the end that its caller expected. tools.losses sums them up by queue and cause.

--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -18,6 +18,7 @@
 from orchidrail.types import JobId, Seconds, WorkerId
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import Size
+from orchidrail.work.waits import WaitReason
 from orchidrail.workers.port import Advice
 
 _log = structlog.get_logger()
@@ -104,9 +105,13 @@
         ]
         earmarked: set[WorkerId] = set()
         earmarks = 0
+        reason_by_job: dict[JobId, WaitReason] = {}
         for rank, step in ranked:
             tasks = step.startable()
-            if not tasks or self._state.may_be_running(step.job):
+            if not tasks:
+                continue
+            if self._state.may_be_running(step.job):
+                reason_by_job[step.job.job_id] = WaitReason.DOUBT
                 continue
             usable = [
                 books
@@ -121,6 +126,19 @@
             if kept and earmarks < _EARMARKS:
                 earmarks += 1
                 earmarked.update(kept)
+            if step.startable():
+                reason_by_job[step.job.job_id] = _reason(step, usable)
+        self._note_waits(reason_by_job, now)
+
+    def _note_waits(
+        self,
+        reason_by_job: dict[JobId, WaitReason],
+        now: Seconds,
+    ) -> None:
+        for job_id in self._steps_by_job:
+            job = self._state.job_by_id.get(job_id)
+            if job is not None:
+                job.waits.note(reason_by_job.get(job_id), now)
 
     async def report(self) -> None:
         """Log the shard's load now and then, for those who look back."""
@@ -128,6 +146,7 @@
             await asyncio.sleep(_REPORT_EVERY)
             state = self._state
             now = state.clock()
+            self._note_lost_workers()
             every = list(state.books_by_worker.values())
             steps = [
                 step
@@ -152,6 +171,12 @@
                 **self._desk.load(),
             )
 
+    def _note_lost_workers(self) -> None:
+        """Add up, once a report, waits for workers that do not answer."""
+        for job in self._state.job_by_id.values():
+            if any(map(self._state.lost, job.placed_on())):
+                job.waits.add(WaitReason.LOST_WORKER, _REPORT_EVERY)
+
     def _gauge(
         self,
         every: list[WorkerBooks],
@@ -355,6 +380,17 @@
             self._runs.launch(step, chosen)
 
 
+def _reason(step: StepState, usable: list[WorkerBooks]) -> WaitReason:
+    """Return what the tasks of a step that were not placed wait for."""
+    if step.job.queue.advice is None:
+        return WaitReason.ROOM if usable else WaitReason.WORKERS
+    known = step.permits.good_by_worker
+    good = any(known.get(books.worker) for books in usable)
+    if step.permits.asking and not good:
+        return WaitReason.ADVICE
+    return WaitReason.ROOM if good else WaitReason.WORKERS
+
+
 def _split(
     about: list[WorkerBooks],
     most_parts: int,
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from orchidrail.types import Seconds
-from orchidrail.work.job import StepState
+from orchidrail.work.job import Job, StepState
 from orchidrail.work.model import JobSpec, QueueSettings
 
 Rank = tuple[float, ...]
@@ -21,6 +21,16 @@
     return max(end_by_step)
 
 
+def due_at(job: Job, round_number: int = 0) -> Seconds:
+    """Return the wall clock by which a round of a job should have ended.
+
+    It rests on the caller's estimates, which may be far off.
+    """
+    chain = longest_chain(job.spec, job.queue)
+    began = max(job.record.accepted_at, job.spec.due(round_number))
+    return began + job.queue.stretch * chain + job.queue.target
+
+
 def rank_step(step: StepState, wall: Seconds) -> Rank:
     """Return the rank of a waiting step; the least goes first.
 
@@ -30,8 +40,6 @@
     job = step.job
     if job.queue.priority == 0:
         return (_URGENT, job.record.accepted_at)
-    chain = longest_chain(job.spec, job.queue)
-    began = max(job.record.accepted_at, job.spec.due(step.round_number))
-    deadline = began + job.queue.stretch * chain + job.queue.target
+    deadline = due_at(job, step.round_number)
     tier = _LATE if wall > deadline else _IN_TIME
-    return (tier, deadline - chain)
+    return (tier, deadline - longest_chain(job.spec, job.queue))
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -11,6 +11,7 @@
 from orchidrail.journal.writer import Commit
 from orchidrail.shard.books import PlacedRun, WorkerBooks, note_progress
 from orchidrail.shard.placing import Placement
+from orchidrail.shard.ranking import due_at
 from orchidrail.shard.standing import Standings
 from orchidrail.shard.state import ShardState
 from orchidrail.types import RunNumber, Seconds, WorkerId
@@ -474,7 +475,11 @@
             'job over',
             job=job.job_id,
             phase=job.phase.name.lower(),
+            queue=job.queue.name,
             took=round(self._state.wall_clock() - job.record.accepted_at, 3),
+            expected=round(due_at(job) - job.record.accepted_at, 3),
+            failures=job.failures(),
+            waits=job.waits.describe(),
             longest_run=round(job.longest_run, 3),
             longest_at=job.longest_at,
         )
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -88,6 +88,11 @@
             for books in self.books_by_worker.values()
         )
 
+    def lost(self, worker: WorkerId) -> bool:
+        """Whether a worker does not answer, or was never met."""
+        books = self.books_by_worker.get(worker)
+        return books is None or not books.session.reachable
+
     def keep_worker(self, entry: WorkerEntry) -> None:
         """Put a worker into the journal, for the next owner to look for."""
         key, value = worker_key(entry.worker), encode(entry)
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -198,3 +198,22 @@
             self.assertEqual([12, 12, 24], asked)
 
         self.play(scene)
+
+    def test_a_job_tells_what_it_waited_for(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            shard.desk.use_lanes([InstanceId('lane')])
+            asking = _make_job('a' * 16, StepSpec(1, Size(1, 1)), 1, True)
+            shard.add(asking)
+            full = StepSpec(2, Size(64_000, 1))
+            crowded = _make_job('b' * 16, full, 1, advice=False)
+            shard.add(crowded)
+            await asyncio.sleep(_SOON)
+            await shard.answer(0, valid=1.5)
+            shard.state.may_be_running = lambda job: job is crowded  # type: ignore[method-assign]
+            shard.placer.place_all()
+            shard.placer.place_all()
+            self.assertEqual(['advice'], list(asking.waits.describe()))
+            self.assertIn('room', crowded.waits.describe())
+
+        self.play(scene)
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -20,6 +20,7 @@
     TaskPhase,
     TaskRow,
 )
+from orchidrail.work.waits import Waits
 from orchidrail.workers.port import RunEnding
 
 _ENDINGS_THAT_COUNT = frozenset((RunEnding.FAILED,))
@@ -148,6 +149,8 @@
         #: The longest of its runs that went well, in seconds, and where.
         self.longest_run: Seconds = 0
         self.longest_at = WorkerId('')
+        #: What its tasks waited for, to explain later why it was late.
+        self.waits = Waits()
         self._steps_by_round: dict[int, list[StepState]] = {}
 
     @property
@@ -248,6 +251,20 @@
             self.longest_run = took
             self.longest_at = worker
 
+    def failures(self) -> int:
+        """Return how many runs of its tasks failed."""
+        return sum(row.failures for row in self.rows())
+
+    def placed_on(self) -> set[WorkerId]:
+        """Return the workers that its tasks were given to."""
+        steps = itertools.chain.from_iterable(self._steps_by_round.values())
+        return {
+            task.worker
+            for step in steps
+            for task in step.tasks
+            if task.phase is TaskPhase.PLACED
+        }
+
     def rows(self) -> list[TaskRow]:
         """Return the tasks that have left their first state."""
         steps = itertools.chain.from_iterable(self._steps_by_round.values())
--- /dev/null
+++ b/orchidrail/work/waits.py
@@ -0,0 +1,65 @@
+"""Why a job's tasks were not placed, summed up over its life."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import Enum
+
+from orchidrail.types import Seconds
+
+
+class WaitReason(Enum):
+    """What a task whose turn has come waits for."""
+
+    #: The advice service has not said yet who may run it.
+    ADVICE = 'advice'
+    #: Workers that may run it have no room.
+    ROOM = 'room'
+    #: No worker that may run it takes new work.
+    WORKERS = 'workers'
+    #: It may be running where no owner has looked yet.
+    DOUBT = 'doubt'
+    #: It was given to a worker that does not answer.
+    LOST_WORKER = 'lostWorker'
+
+
+class Waits:
+    """Seconds that one job has waited, by reason.
+
+    Examples
+    --------
+    >>> waits = Waits()
+    >>> waits.note(WaitReason.ADVICE, now=10)
+    >>> waits.note(None, now=12.5)
+    >>> waits.describe()
+    {'advice': 2.5}
+    """
+
+    def __init__(self) -> None:
+        """Wait for nothing."""
+        self._seconds_by_reason: dict[WaitReason, Seconds] = defaultdict(float)
+        self._reason: WaitReason | None = None
+        self._since: Seconds = 0
+
+    def note(self, reason: WaitReason | None, now: Seconds) -> None:
+        """Take what the job waits for from now on, None for nothing."""
+        if reason is self._reason:
+            return
+        if self._reason is not None:
+            self.add(self._reason, now - self._since)
+        self._reason = reason
+        self._since = now
+
+    def add(self, reason: WaitReason, seconds: Seconds) -> None:
+        """Add a wait that is over."""
+        self._seconds_by_reason[reason] += seconds
+
+    def describe(self) -> dict[str, Seconds]:
+        """Return the seconds by reason, the longest first, for a log line."""
+        longest_first = sorted(
+            self._seconds_by_reason.items(),
+            key=lambda pair: -pair[1],
+        )
+        return {
+            reason.value: round(seconds, 3) for reason, seconds in longest_first
+        }
--- /dev/null
+++ b/tools/tests/test_losses.py
@@ -0,0 +1,50 @@
+"""Tests of the table of what held late jobs up."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from tools.losses import report
+
+_LATE = {
+    'event': 'job over',
+    'job': 'a',
+    'queue': 'q',
+    'phase': 'completed',
+    'took': 9.0,
+    'expected': 2.0,
+    'longest_run': 1.0,
+    'failures': 0,
+    'waits': {'room': 6.0, 'advice': 0.1},
+}
+
+
+class LossesTest(unittest.TestCase):
+    def print_report(self, *entries: dict[str, object]) -> str:
+        """Return what is printed for lines as a bench shows them."""
+        lines = [f'  1.5 node {json.dumps(entry)}' for entry in entries]
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'log')
+            path.write_text('no object here\n' + '\n'.join(lines))
+            printed = io.StringIO()
+            with contextlib.redirect_stdout(printed):
+                report(str(path), worth={'q': 0.5})
+        return printed.getvalue()
+
+    def test_a_late_job_is_counted_under_its_longest_wait(self) -> None:
+        printed = self.print_report(_LATE, {**_LATE, 'took': 1.0})
+        self.assertIn('q: 2 ended, 1 late, 1 useless', printed)
+        self.assertRegex(printed, r'room +1 jobs +7\.0 s +0\.50')
+
+    def test_a_job_without_waits_is_put_down_to_its_failed_runs(self) -> None:
+        printed = self.print_report({**_LATE, 'waits': {}, 'failures': 1})
+        self.assertIn('failed runs', printed)
+
+    def test_refusals_are_counted(self) -> None:
+        printed = self.print_report({'event': 'job refused', 'queue': 'q'})
+        self.assertIn('q: job refused: 1 times', printed)
