--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -196,7 +196,6 @@
             self._ask_advice,
             time.monotonic,
             time.time,
-            self.table.all_zones_heard,
             self.settings.bounds.longest_lease,
             self.settings.bounds.stop_takes,
             self.settings.bounds.status_kept,
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -145,9 +145,3 @@
         heard = {member.zone for member in self.heard(_CUT_AFTER)}
         elsewhere = {self.me.zone}
         return bool(zones - elsewhere) and not heard - elsewhere
-
-    def all_zones_heard(self) -> bool:
-        """Whether a peer of each other zone was heard from lately."""
-        zones = {known.member.zone for known in self._peer_by_name.values()}
-        heard = {member.zone for member in self.heard()}
-        return zones - {self.me.zone} <= heard and bool(heard)
--- a/orchidrail/shard/authority.py
+++ b/orchidrail/shard/authority.py
@@ -1,11 +1,9 @@
 """For how long an owner may act without hearing that it still owns.
 
-Three times that belong together. A start is in the journal before it is sent,
-so a new owner knows of it. While the store is away for all, an owner may start
-unlogged work after `UNLOGGED_AFTER`; a new owner that saw the journal move
-more recently than that knows that there is none. An owner that can't write
-keeps runs alive for `RENEW_FOR`, then lets go; a new owner waits for that
-before it gives up a run at a worker that it can't reach.
+A start is in the journal before it is sent, so a new owner knows of all that
+may run. An owner that can't write goes on renewing leases for `renew_for`,
+then lets go; a new owner that can't reach a worker waits for that, and for the
+longest lease, before it gives up what runs there.
 """
 
 from __future__ import annotations
@@ -13,11 +11,24 @@
 from orchidrail.types import Seconds
 from orchidrail.workers.lease import SLOWEST_CLOCK
 
-#: Silence of the store after which starts go out unlogged. A peer's detection
-#: of a dead owner (about 1 s) and its reading interval (0.5 s) stay below.
-UNLOGGED_AFTER: Seconds = 2.0
-#: The longest cuts and outages of the site files last 9 s.
-RENEW_FOR: Seconds = 10.0
+#: What runs is kept alive for so long without the store: the longest cuts and
+#: outages of the site files last 9 s, a take-over after them 1 s more.
+_OUTLIVES: Seconds = 11.0
+#: Renewals go on for this long in any case, since an append may be slow.
+_LEAST: Seconds = 1.0
+
+
+def renew_for(longest_lease: Seconds) -> Seconds:
+    """Return for how long after its last append an owner renews leases.
+
+    The last renewal holds for a whole lease, so long leases need few.
+
+    Examples
+    --------
+    >>> renew_for(longest_lease=6), renew_for(longest_lease=10)
+    (5.0, 1.0)
+    """
+    return max(_LEAST, _OUTLIVES - longest_lease)
 
 
 def doubt_until(taken_over_at: Seconds, longest_lease: Seconds) -> Seconds:
@@ -26,6 +37,7 @@
     Examples
     --------
     >>> round(doubt_until(taken_over_at=100, longest_lease=6), 1)
-    116.1
+    111.1
     """
-    return taken_over_at + RENEW_FOR + longest_lease / (1 - SLOWEST_CLOCK)
+    lasts = longest_lease / (1 - SLOWEST_CLOCK)
+    return taken_over_at + renew_for(longest_lease) + lasts
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -93,7 +93,6 @@
                 if await self._view.catch_up():
                     self._note_read()
                     self._take_entries()
-                    self._state.workers_listed = True
                 self._sweep()
                 await asyncio.sleep(_READ_EVERY)
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -13,7 +13,7 @@
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk, AskThrough
-from orchidrail.shard.authority import RENEW_FOR, UNLOGGED_AFTER, doubt_until
+from orchidrail.shard.authority import doubt_until, renew_for
 from orchidrail.shard.fleet import DecodeEntry, Fleet
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.runs import RunTracker
@@ -49,8 +49,6 @@
     ask: AskThrough
     clock: Callable[[], Seconds]
     wall_clock: Callable[[], Seconds]
-    #: Whether peers of all other zones are heard from.
-    in_contact: Callable[[], bool]
     longest_lease: Seconds
     stop_takes: Seconds
     status_kept: Seconds
@@ -65,17 +63,9 @@
     writer : JournalWriter
         Just taken over.
     ports : OwnerPorts
-    silent_for : float
-        Most seconds for which the journal may have been silent before: an
-        earlier owner may have started work that it could not write down.
     """
 
-    def __init__(
-        self,
-        writer: JournalWriter,
-        ports: OwnerPorts,
-        silent_for: Seconds,
-    ) -> None:
+    def __init__(self, writer: JournalWriter, ports: OwnerPorts) -> None:
         """Restore the jobs from the journal."""
         self.writer = writer
         self._ports = ports
@@ -89,15 +79,12 @@
         self.runs = RunTracker(
             self.state,
             self.resign,
-            self._may_start_unlogged,
             ports.stop_takes,
         )
         self.desk = AdviceDesk(ports.ask, ports.clock)
         self.placer = Placer(self.state, self.runs, self.desk)
         earlier = writer.owner.epoch > 1
         doubted = doubt_until(now, ports.longest_lease) if earlier else 0
-        if silent_for >= UNLOGGED_AFTER:
-            self.state.unlogged_until = doubted
         self._fleet = Fleet(
             self.state,
             self.runs,
@@ -258,17 +245,9 @@
         return job_key(job_id) in self.writer.view.value_by_key or None
 
     def _may_renew(self) -> bool:
-        return (
-            self.writer.unconfirmed_for() < RENEW_FOR
-            and not self.writer.fenced.is_set()
-        )
-
-    def _may_start_unlogged(self) -> bool:
-        return (
-            self.writer.unconfirmed_for() > UNLOGGED_AFTER
-            and self._may_renew()
-            and self._ports.in_contact()
-        )
+        longest = renew_for(self._ports.longest_lease)
+        unconfirmed = self.writer.unconfirmed_for()
+        return unconfirmed < longest and not self.writer.fenced.is_set()
 
     def _restore(self) -> None:
         for stored in read_jobs(self.writer.view.value_by_key):
@@ -277,7 +256,6 @@
             job = Job(stored.job_id, stored.record)
             job.restore(stored.progress)
             job.accepted = True
-            job.restored = True
             self.state.job_by_id[stored.job_id] = job
             self.state.note_change(job)
             for row in stored.progress.rows:
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -110,9 +110,6 @@
             tasks = step.startable()
             if not tasks:
                 continue
-            if self._state.may_be_running(step.job):
-                reason_by_job[step.job.job_id] = WaitReason.DOUBT
-                continue
             usable = [
                 books
                 for books in open_books
@@ -371,7 +368,7 @@
             and step.permits.good_by_worker.get(books.worker)
         ]
         tasks = step.startable()
-        if not usable or not tasks or self._state.may_be_running(step.job):
+        if not usable or not tasks:
             return
         if step.job.ended:
             return
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -28,8 +28,6 @@
 from orchidrail.workers.session import WorkerSession
 
 _log = structlog.get_logger()
-#: How often a start that waits for the journal looks whether it may go out.
-_LOOK_EVERY: Seconds = 0.1
 _STOP_AGAIN: Seconds = 0.3
 _STOP_TRIES = 30
 #: Results after which the worker has certainly not started the run.
@@ -64,8 +62,6 @@
     state : ShardState
     on_fenced : callable
         Called when a worker has seen a newer owner.
-    may_start_unlogged : callable
-        Whether starts may go out that the journal doesn't have.
     stop_takes : float
         Seconds after which a stopped run has surely ended.
     """
@@ -74,7 +70,6 @@
         self,
         state: ShardState,
         on_fenced: Callable[[], None],
-        may_start_unlogged: Callable[[], bool],
         stop_takes: Seconds,
     ) -> None:
         """Start without runs."""
@@ -82,7 +77,6 @@
         self._standings = Standings()
         self._state = state
         self._fenced = on_fenced
-        self._may_start_unlogged = may_start_unlogged
         self._tasks: set[asyncio.Task[None]] = set()
 
     def close(self) -> None:
@@ -212,22 +206,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _may_go_out(
-        self,
-        commit: Commit,
-        job: Job,
-        worker: WorkerId,
-    ) -> bool:
-        waiting = asyncio.ensure_future(commit.wait())
-        while True:
-            done, _ = await asyncio.wait((waiting,), timeout=_LOOK_EVERY)
-            if done:
-                return waiting.result()
-            known = job.accepted and self._state.worker_kept(worker)
-            if known and self._may_start_unlogged():
-                waiting.cancel()
-                return True
-
     async def _start(
         self,
         commit: Commit,
@@ -238,7 +216,7 @@
         ticket = task.step.permits.ticket_by_worker.get(books.worker, '')
         run = books.run_by_key.get(key)
         job = task.step.job
-        if run is None or not await self._may_go_out(commit, job, books.worker):
+        if run is None or not await commit.wait():
             return
         if run.stopping or job.ended:
             self._not_started(books, run, OrderResult.NOT_SENT)
@@ -479,7 +457,7 @@
             took=round(self._state.wall_clock() - job.record.accepted_at, 3),
             expected=round(due_at(job) - job.record.accepted_at, 3),
             failures=job.failures(),
-            waits=job.waits.describe(),
+            waits=job.waits.describe(self._state.clock()),
             longest_run=round(job.longest_run, 3),
             longest_at=job.longest_at,
         )
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -58,10 +58,6 @@
         self.unresolved_by_worker: dict[
             WorkerId, list[tuple[Task, RunNumber]]
         ] = defaultdict(list)
-        #: Until then, workers not heard from may run what no journal names.
-        self.unlogged_until: Seconds = 0
-        #: Whether the workers' entries were read.
-        self.workers_listed = False
         self.paces = Paces()
         #: Set when something may be placed that could not before.
         self.wanted = asyncio.Event()
@@ -77,17 +73,6 @@
             return None
         return job.find_task(int(parts[1]), int(parts[2]), int(parts[3]))
 
-    def may_be_running(self, job: Job) -> bool:
-        """Whether a job's waiting tasks may run where nobody has looked yet."""
-        if not job.restored or self.clock() > self.unlogged_until:
-            return False
-        if not self.workers_listed:
-            return True
-        return any(
-            not books.session.fence_raised and not books.session.over
-            for books in self.books_by_worker.values()
-        )
-
     def lost(self, worker: WorkerId) -> bool:
         """Whether a worker does not answer, or was never met."""
         books = self.books_by_worker.get(worker)
@@ -104,10 +89,6 @@
         self.writer.put(worker_key(worker), b'')
         self.paces.forget(worker)
 
-    def worker_kept(self, worker: WorkerId) -> bool:
-        """Whether the next owner will surely look for a worker."""
-        return worker_key(worker) in self.writer.view.value_by_key
-
     def note_change(self, job: Job) -> None:
         """Have the job's steps looked at again."""
         self.changed_jobs.add(job.job_id)
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -144,8 +144,6 @@
         self.begun = False
         #: Whether the journal is known to have the job.
         self.accepted = False
-        #: Whether it was accepted by an earlier owner.
-        self.restored = False
         #: The longest of its runs that went well, in seconds, and where.
         self.longest_run: Seconds = 0
         self.longest_at = WorkerId('')
--- a/orchidrail/work/waits.py
+++ b/orchidrail/work/waits.py
@@ -17,8 +17,6 @@
     ROOM = 'room'
     #: No worker that may run it takes new work.
     WORKERS = 'workers'
-    #: It may be running where no owner has looked yet.
-    DOUBT = 'doubt'
     #: It was given to a worker that does not answer.
     LOST_WORKER = 'lostWorker'
 
@@ -31,7 +29,7 @@
     >>> waits = Waits()
     >>> waits.note(WaitReason.ADVICE, now=10)
     >>> waits.note(None, now=12.5)
-    >>> waits.describe()
+    >>> waits.describe(now=20)
     {'advice': 2.5}
     """
 
@@ -54,10 +52,14 @@
         """Add a wait that is over."""
         self._seconds_by_reason[reason] += seconds
 
-    def describe(self) -> dict[str, Seconds]:
+    def describe(self, now: Seconds) -> dict[str, Seconds]:
         """Return the seconds by reason, the longest first, for a log line."""
+        seconds_by_reason = dict(self._seconds_by_reason)
+        if self._reason is not None:
+            before = seconds_by_reason.get(self._reason, 0)
+            seconds_by_reason[self._reason] = before + now - self._since
         longest_first = sorted(
-            self._seconds_by_reason.items(),
+            seconds_by_reason.items(),
             key=lambda pair: -pair[1],
         )
         return {
--- a/orchidrail/workers/lease.py
+++ b/orchidrail/workers/lease.py
@@ -79,8 +79,12 @@
         self.promise(self.clock_at(now) + self._longest)
 
     def ended(self, now: Seconds) -> bool:
-        """Tell whether all that ran under the lease has surely ended."""
+        """Tell whether all that ran under the lease has surely ended.
+
+        A worker that has answered takes no renewal of an earlier owner any
+        more: only one that never did is left to `doubt_until`.
+        """
         if self._clock is None:
             return now > self._doubt_until
         passed = (now - self._observed_at) * (1 - SLOWEST_CLOCK)
-        return self._clock + passed > self._latest and now > self._doubt_until
+        return self._clock + passed > self._latest
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -199,9 +199,6 @@
             self._observer.on_fenced(self)
 
     async def _look(self) -> None:
-        if not self._may_renew():
-            await asyncio.sleep(_FAILED_PAUSE)
-            return
         behind = self._last_heard > self._last_seen
         doubted = behind or self._failures or not self.reachable
         await self._look_once(0 if doubted else _LOOK_WAIT)
@@ -210,7 +207,8 @@
         sent_at = self._clock()
         # A renewal without an answer may count all the same, so a worker that
         # is lost gets none: else its lease would never surely end.
-        deadline = self.lease.renew(sent_at) if self.reachable else None
+        renews = self.reachable and self._may_renew()
+        deadline = self.lease.renew(sent_at) if renews else None
         order = HoldOrder(self.epoch, deadline, self._last_seen, wait)
         answer = await self._calls.hold(
             self.entry,
