Try another way beside one that is silent, and always some way

Cause: after a peer had helped, the direct way was avoided for 0.7 s, and after one peer had failed, all peers for 1 s: together no call was made at all. Also, a way that was silent was waited for (0.5 s) before a peer was asked.

Appends name their end, so one by two ways counts once.

Tests: test_each_call_is_tried_by_some_way and the one of a peer beside a silent way failed before. test_asks_no_peer_for_a_while_when_none_can_help now lets two calls fail before, since one peer's failure says little.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -17,6 +17,7 @@
 from orchidrail.instance.ownership import Ownership
 from orchidrail.instance.peer_service import PeerService
 from orchidrail.instance.settings import InstanceSettings
+from orchidrail.instance.store_relays import RELAY_SLACK, StoreRelays
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.members import MemberList
@@ -34,18 +35,11 @@
 from orchidrail.platform.worker_calls import PlatformAdvice, PlatformWorkers
 from orchidrail.shard.owner import OwnerPorts
 from orchidrail.store import Topic
-from orchidrail.store.relay import (
-    DIRECT_TIMEOUT,
-    RawAnswer,
-    RawCall,
-    RelayedCaller,
-)
+from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
 from orchidrail.types import InstanceId, Seconds, WorkerId
 from orchidrail.wire.messages import (
     AdviceGiven,
     AskAdvice,
-    RelayAnswer,
-    RelayCall,
 )
 from orchidrail.wire.transport import MessageServer, TcpTransport
 from orchidrail.work.model import MemberInfo
@@ -54,8 +48,6 @@
 _log = structlog.get_logger()
 #: The platform's network is closed to others; daemons need no shared key.
 _NO_KEY = ''
-#: Time that a relayed call may take beyond its own patience.
-_RELAY_SLACK: Seconds = 0.1
 
 
 class InstanceDaemon:
@@ -82,7 +74,7 @@
         self.table = PeerTable(self.me, time.monotonic)
         self._store_caller = RelayedCaller(
             self._call_store,
-            self._relay,
+            StoreRelays(self.table, self._transport, time.monotonic).call,
             time.monotonic,
             self._note_store_call,
         )
@@ -208,30 +200,6 @@
     async def _call_store(self, call: RawCall) -> RawAnswer:
         return await self._caller.call(self.settings.store, call)
 
-    async def _relay(self, call: RawCall) -> RawAnswer:
-        """Make a call through a peer that reaches the store."""
-        helpers = self.table.heard_with_store()
-        if not helpers:
-            return RawAnswer(0, b'no peer', reached=False)
-        peer = random.choice(helpers)
-        patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
-        outcome = await self._transport.call(
-            peer.address,
-            RelayCall(
-                method=call.method,
-                target=call.target,
-                body=call.body,
-                timeout=patience,
-                waits=call.waits,
-            ),
-            patience + _RELAY_SLACK,
-        )
-        if not isinstance(outcome, Ok):
-            return RawAnswer(0, outcome.err_value.value.encode())
-        answer = outcome.ok_value
-        assert isinstance(answer, RelayAnswer)
-        return RawAnswer(answer.status, answer.body, answer.reached)
-
     async def _ask_advice(
         self,
         lane: InstanceId,
@@ -254,7 +222,7 @@
         outcome = await self._transport.call(
             address,
             AskAdvice(step_key=step_key, workers=workers, timeout=timeout),
-            timeout + _RELAY_SLACK,
+            timeout + RELAY_SLACK,
         )
         if not isinstance(outcome, Ok):
             return None
--- /dev/null
+++ b/orchidrail/instance/tests/test_store_relays.py
@@ -0,0 +1,65 @@
+"""Tests of the choice of a peer for calls to the store."""
+
+from __future__ import annotations
+
+from result import Ok
+
+from orchidrail.instance.store_relays import StoreRelays
+from orchidrail.peers.table import PeerTable
+from orchidrail.store.relay import RawCall
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import Address, InstanceId, Seconds
+from orchidrail.wire.messages import Message, PeerState, RelayAnswer
+from orchidrail.work.model import MemberInfo
+
+_ME = MemberInfo(InstanceId('me'), Address('me:1'), 'a', 'me-1')
+_CALL = RawCall('GET', '/x')
+
+
+class StoreRelaysTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 100.0
+        self.asked: list[str] = []
+        self.table = PeerTable(_ME, lambda: self.now)
+        self.relays = StoreRelays(self.table, self, lambda: self.now)  # type: ignore[arg-type]
+
+    async def call(
+        self,
+        address: str,
+        message: Message,
+        timeout: Seconds,
+    ) -> Ok[RelayAnswer]:
+        """Stand in for the transport: only the second peer can help."""
+        self.asked.append(address)
+        return Ok(RelayAnswer(200 if address == 'p-2:1' else 0, b'', True))
+
+    def hear(self, *names: str) -> None:
+        for name in names:
+            self.table.hear(
+                PeerState(
+                    name=InstanceId(name),
+                    address=Address(f'{name}:1'),
+                    zone='b',
+                    incarnation=f'{name}-1',
+                    store_answers=True,
+                )
+            )
+
+    def test_a_peer_that_failed_is_passed_over(self) -> None:
+        self.hear('p-1')
+        self.assertFalse(self.run_async(self.relays.call(_CALL)).usable)
+        self.hear('p-2')
+        for _ in range(8):
+            self.assertTrue(self.run_async(self.relays.call(_CALL)).usable)
+        self.assertEqual(1, self.asked.count('p-1:1'))
+
+    def test_peers_that_all_failed_are_asked_again(self) -> None:
+        self.hear('p-1')
+        self.run_async(self.relays.call(_CALL))
+        self.run_async(self.relays.call(_CALL))
+        self.assertEqual(['p-1:1', 'p-1:1'], self.asked)
+
+    def test_without_peers_nothing_can_have_got_through(self) -> None:
+        answer = self.run_async(self.relays.call(_CALL))
+        self.assertFalse(answer.reached)
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -14,12 +14,18 @@
 _log = structlog.get_logger()
 _TOO_MANY = 429
 _UNAVAILABLE = 503
-#: After a peer has helped, the store is asked through peers for this long.
+#: After the store has turned this machine away, peers are asked first.
 _AVOID_DIRECT: Seconds = 0.7
 #: After no peer could help either, none is asked for this long: the store is
 #: then down for all, and each call has a price. It is tried directly, so that
 #: its return is noticed at once.
 _AVOID_RELAY: Seconds = 1.0
+#: Peers that must fail in a row before that is concluded: one may be cut off
+#: as this machine is, and not know it yet.
+_RELAYS_TRIED = 2
+#: Silence of a way after which the next is tried beside it. The store answers
+#: in 8 ms; where it is slow (0.3 s) each call is made twice.
+_BESIDE_AFTER: Seconds = 0.12
 #: A direct answer tells for this long that the store is reached; each process
 #: calls at least once in a second.
 _ANSWERS_FOR: Seconds = 1.5
@@ -76,6 +82,10 @@
 class RelayedCaller:
     """Calls directly, and through a peer where that fails.
 
+    A way that gives no answer is not waited for: the next one is tried beside
+    it. Appends name the end that they expect, so one that arrives by two ways
+    counts once.
+
     Parameters
     ----------
     direct : callable
@@ -102,11 +112,12 @@
         self._clock = clock
         self._avoid_direct_until: Seconds = 0
         self._avoid_relay_until: Seconds = 0
+        self._relays_failed = 0
         self._answered_at: Seconds = -math.inf
         #: Whether the latest direct call got no answer at all.
         self._silent = False
         self._probe_at: Seconds = 0
-        self._probes: set[asyncio.Task[RawAnswer]] = set()
+        self._attempts: set[asyncio.Task[RawAnswer]] = set()
         self.lost = False
 
     def direct_answers(self) -> bool:
@@ -117,33 +128,49 @@
 
     async def __call__(self, call: RawCall) -> RawAnswer:
         """Make a call by the way that works."""
-        answer = RawAnswer(0, reached=False)
-        if self._clock() >= self._avoid_direct_until:
-            if self._silent:
-                return await self._call_silent(call)
-            answer = await self._call_directly(call)
-            if answer.usable:
-                return answer
-        if self._clock() < self._avoid_relay_until:
-            return answer
-        return await self._call_relay(call, answer)
-
-    async def _call_silent(self, call: RawCall) -> RawAnswer:
-        """Go through a peer, and try the silent direct way beside it.
-
-        Waiting for the direct way first would hold up each call in turn.
-        """
-        if call.method == 'GET' and self._clock() >= self._probe_at:
+        if self._silent and call.method == 'GET':
+            self._probe(call)
+        answers: list[RawAnswer] = []
+        pending: set[asyncio.Task[RawAnswer]] = set()
+        for way in self._ways():
+            pending.add(self._attempt(way, call))
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=_BESIDE_AFTER + call.waits,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            answers.extend(task.result() for task in done)
+            if any(answer.usable for answer in answers):
+                break
+        while pending and not any(answer.usable for answer in answers):
+            done, pending = await asyncio.wait(
+                pending,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            answers.extend(task.result() for task in done)
+        return self._conclude(answers)
+
+    def _ways(self) -> list[Caller]:
+        """Return the ways to try, the most promising first; never none."""
+        now = self._clock()
+        if now < self._avoid_relay_until:
+            return [self._call_directly]
+        if self._silent or now < self._avoid_direct_until:
+            return [self._call_relay, self._call_directly]
+        return [self._call_directly, self._call_relay]
+
+    def _attempt(self, way: Caller, call: RawCall) -> asyncio.Task[RawAnswer]:
+        """Start an attempt, which goes on even if another way was faster."""
+        task = asyncio.ensure_future(way(call))
+        self._attempts.add(task)
+        task.add_done_callback(self._attempts.discard)
+        return task
+
+    def _probe(self, call: RawCall) -> None:
+        """Try the silent direct way beside a call that goes by a peer."""
+        if self._clock() >= self._probe_at:
             self._probe_at = self._clock() + _PROBE_EVERY
-            probe = asyncio.ensure_future(self._call_directly(call))
-            self._probes.add(probe)
-            probe.add_done_callback(self._probes.discard)
-        relayed = await self._relay(call)
-        self._note('relay', relayed.status)
-        if relayed.usable:
-            return relayed
-        direct = await self._call_directly(call)
-        return direct if direct.usable else _less_certain(direct, relayed)
+            self._attempt(self._call_directly, call)
 
     async def _call_directly(self, call: RawCall) -> RawAnswer:
         patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
@@ -152,29 +179,39 @@
         self._silent = not answer.status
         if answer.usable:
             self._answered_at = self._clock()
-        if answer.usable and self.lost:
-            _log.info('store regained')
-            self.lost = False
+        elif answer.status:
+            self._avoid_direct_until = self._clock() + _AVOID_DIRECT
         return answer
 
-    async def _call_relay(self, call: RawCall, direct: RawAnswer) -> RawAnswer:
+    async def _call_relay(self, call: RawCall) -> RawAnswer:
         relayed = await self._relay(call)
         self._note('relay', relayed.status)
         if relayed.usable:
-            self._avoid_direct_until = self._clock() + _AVOID_DIRECT
+            self._relays_failed = 0
             return relayed
-        self._avoid_relay_until = self._clock() + _AVOID_RELAY
-        if not self.lost:
+        self._relays_failed += 1
+        if self._relays_failed >= _RELAYS_TRIED:
+            self._avoid_relay_until = self._clock() + _AVOID_RELAY
+        return relayed
+
+    def _conclude(self, answers: list[RawAnswer]) -> RawAnswer:
+        """Choose among the answers; log a store that is lost or is back."""
+        usable = next((answer for answer in answers if answer.usable), None)
+        if usable is None and not self.lost:
             _log.warning(
                 'store lost',
-                status=direct.status,
-                relayed=relayed.status,
-                detail=direct.body[:_SHOWN].decode(errors='replace'),
+                answers=[answer.status for answer in answers],
+                details=[
+                    answer.body[:_SHOWN].decode(errors='replace')
+                    for answer in answers
+                ],
             )
-            self.lost = True
-        return _less_certain(direct, relayed)
+        if usable is not None and self.lost:
+            _log.info('store regained')
+        self.lost = usable is None
+        return _least_certain(answers) if usable is None else usable
 
 
-def _less_certain(one: RawAnswer, other: RawAnswer) -> RawAnswer:
-    """Return the answer of a call that may have got through by either way."""
-    return max(one, other, key=lambda answer: (answer.reached, answer.status))
+def _least_certain(answers: list[RawAnswer]) -> RawAnswer:
+    """Return the answer of a call that may have got through by some way."""
+    return max(answers, key=lambda answer: (answer.reached, answer.status))
--- a/orchidrail/store/tests/test_relay.py
+++ b/orchidrail/store/tests/test_relay.py
@@ -55,7 +55,42 @@
         self.relayed = RawAnswer(_BUSY)
         self.call()
         self.call()
-        self.assertEqual(['direct', 'relay', 'direct'], self.ways)
+        self.ways.clear()
+        self.call()
+        self.assertEqual(['direct'], self.ways)
+
+    def test_each_call_is_tried_by_some_way(self) -> None:
+        self.direct = RawAnswer(_BUSY)
+        self.call()
+        self.relayed = RawAnswer(0)
+        for _ in range(4):
+            self.ways.clear()
+            self.call()
+            self.assertIn('direct', self.ways)
+
+    def test_one_peer_that_fails_does_not_end_the_help_of_others(self) -> None:
+        self.direct = RawAnswer(0)
+        self.relayed = RawAnswer(0)
+        self.call()
+        self.relayed = RawAnswer(_OK, b'relayed')
+        self.assertEqual(b'relayed', self.call().body)
+
+    def test_a_peer_is_asked_beside_a_way_that_is_silent(self) -> None:
+        async def hang(call: RawCall) -> RawAnswer:
+            await asyncio.sleep(1)
+            return RawAnswer(0)
+
+        async def scene() -> None:
+            answer = await asyncio.wait_for(caller(_CALL), 0.5)
+            self.assertEqual(b'relayed', answer.body)
+
+        caller = RelayedCaller(
+            hang,
+            self._call_relay,
+            lambda: self.now,
+            lambda way, status: None,
+        )
+        self.run_async(scene())
 
     def test_the_return_of_the_store_is_noticed_at_the_next_call(self) -> None:
         self.direct = RawAnswer(0)
