Withdraw what was not sent, ask callers back later the longer it lasts, refuse nothing at the start

Callers refused with 1 s each time used up their four tries within the outage. A process that had just started refused at once, since it took itself for cut off before it had heard its peers.

Change: a job whose record was not sent 0.7 s after it was put is taken back and refused (503, true: the record can't get there any more); so is one whose batch found another owner's record in its place. Callers come back after half of the time that refusals have lasted, 1 to 4 s. Nobody is cut off in the first second of a process. The former owner itself waits for no one's turn.

Tests: each of the three failed first.

--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err, Ok
 
+from orchidrail.ingress.come_back import ComeBack
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.table import PeerTable
@@ -36,8 +37,6 @@
 #: Silence of the owner after which no job is sent to it: without an answer
 #: its caller could not be told that it has not run. It speaks each 0.1 s.
 _DOUBTED_AFTER: Seconds = 0.3
-#: When a refused caller should come back.
-COME_BACK_AFTER: Seconds = 1
 
 
 class DeskAnswer(NamedTuple):
@@ -48,9 +47,6 @@
     retry_after: Seconds = 0
 
 
-_REFUSED = DeskAnswer(WorkCode.NOT_TAKEN, retry_after=COME_BACK_AFTER)
-
-
 class JobDesk:
     """Answers for one gateway.
 
@@ -86,6 +82,7 @@
         self._handle_here = handle_here
         self._local_owner = local_owner
         self._clock = clock
+        self._come_back = ComeBack()
 
     async def submit(
         self,
@@ -124,9 +121,10 @@
                 break
             code = await self._try_submit(message, began + patience)
             if code is WorkCode.OK:
+                self._come_back.accept()
                 return DeskAnswer(code)
             if code is WorkCode.NOT_TAKEN and not uncertain:
-                return _REFUSED
+                return self._refuse()
             uncertain = uncertain or code is WorkCode.UNCERTAIN
             await asyncio.sleep(_RETRY_PAUSE)
         _log.info(
@@ -137,7 +135,11 @@
             owner=self._table.claim.name,
             epoch=self._table.claim.epoch,
         )
-        return DeskAnswer(WorkCode.UNCERTAIN) if uncertain else _REFUSED
+        return DeskAnswer(WorkCode.UNCERTAIN) if uncertain else self._refuse()
+
+    def _refuse(self) -> DeskAnswer:
+        retry_after = self._come_back.refuse(self._clock())
+        return DeskAnswer(WorkCode.NOT_TAKEN, retry_after=retry_after)
 
     async def query(self, job_id: JobId, patience: Seconds) -> DeskAnswer:
         """Return a job's state."""
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -287,6 +287,8 @@
     def _turn(self) -> int:
         """Return how many candidates go before this process."""
         claim = self._table.claim
+        if claim.name == self._table.me.name:
+            return 0
         mine = self._place(self._table.me, claim.epoch)
         before = sum(
             self._place(member, claim.epoch) < mine
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -52,6 +52,8 @@
 
     def __init__(self) -> None:
         """Start undecided."""
+        #: Whether its records may be in the store, or may still get there.
+        self.may_be_written = False
         self._decided: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -127,6 +129,11 @@
             self._commit.decide(committed=False)
         return self._commit
 
+    def withdraw(self, *keys: str) -> None:
+        """Take back values of the batch that is being filled."""
+        for key in keys:
+            self._value_by_key.pop(key, None)
+
     def unconfirmed_for(self) -> Seconds:
         """Return for how long the ownership has not been confirmed."""
         return self._clock() - self.confirmed_at
@@ -169,12 +176,15 @@
         ]
         commit = self._commit
         self._in_flight = commit
+        commit.may_be_written = True
         self._value_by_key = {}
         self._bytes = 0
         self._commit = Commit()
         self._wanted.clear()
-        for chunk in _chunks(records):
+        for number, chunk in enumerate(_chunks(records)):
             if not await self._append(chunk):
+                # Another's record is in the place of this chunk for good.
+                commit.may_be_written = number > 0
                 self._lose_ownership(commit)
                 return
         commit.decide(committed=True)
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -17,6 +17,8 @@
 #: Silence of all other zones after which this one counts as cut off. Several
 #: peers speak to this process within each 0.1 s.
 _CUT_AFTER: Seconds = 0.5
+#: A process that has just started has not heard its peers yet.
+_MEETS_WITHIN: Seconds = 1.0
 #: A peer that stays silent for this long is forgotten.
 _FORGET_AFTER: Seconds = 25
 
@@ -57,6 +59,7 @@
         self.owner_heard_at: Seconds = clock()
         self.waiting_by_queue: dict[str, int] = {}
         self._clock = clock
+        self._started_at = clock()
         self._peer_by_name: dict[InstanceId, KnownPeer] = {}
 
     def learn_member(self, member: MemberInfo) -> None:
@@ -141,6 +144,8 @@
 
     def cut_off(self) -> bool:
         """Whether this zone seems to be cut off from all the others."""
+        if self._clock() - self._started_at < _MEETS_WITHIN:
+            return False
         zones = {known.member.zone for known in self._peer_by_name.values()}
         heard = {member.zone for member in self.heard(_CUT_AFTER)}
         elsewhere = {self.me.zone}
--- a/orchidrail/peers/tests/test_table.py
+++ b/orchidrail/peers/tests/test_table.py
@@ -52,6 +52,13 @@
         self.table.hear(make_state('a', epoch=1))
         self.assertEqual(0, self.table.owner_silent_for())
 
+    def test_a_process_that_has_just_started_is_not_cut_off(self) -> None:
+        other = MemberInfo(InstanceId('a'), Address('a:1'), 'z-2', 'a-1')
+        self.table.learn_member(other)
+        self.assertFalse(self.table.cut_off())
+        self.now += 2
+        self.assertTrue(self.table.cut_off())
+
     def test_a_zone_is_cut_off_when_no_other_is_heard(self) -> None:
         self.assertFalse(self.table.cut_off())
         self.table.hear(make_state('a', 'z-2'))
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -11,6 +11,7 @@
 import structlog
 
 from orchidrail.journal import JournalView, JournalWriter
+from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk, AskThrough
 from orchidrail.shard.authority import doubt_until, renew_for
@@ -29,6 +30,7 @@
     TaskPhase,
     encode,
     job_key,
+    progress_key,
     read_job,
     read_jobs,
 )
@@ -172,7 +174,29 @@
         self.state.note_change(job)
         # The caller may leave before the answer: this must happen all the same.
         commit.then(lambda committed: self._accept(job, committed))
-        return await commit.wait() or None
+        waiting = asyncio.ensure_future(commit.wait())
+        done, _ = await asyncio.wait((waiting,), timeout=_ACCEPT_WITHIN)
+        if not done and self._withdraw(job, commit):
+            waiting.cancel()
+            return False
+        if await waiting:
+            return True
+        return None if commit.may_be_written else False
+
+    def _withdraw(self, job: Job, commit: Commit) -> bool:
+        """Take back a job that waits behind an append without an answer.
+
+        Its caller can then be told at once that it has not run.
+        """
+        if job.ended or commit.may_be_written:
+            return False
+        job.phase = JobPhase.CANCELLED
+        self.state.job_by_id.pop(job.job_id, None)
+        self.state.note_change(job)
+        self.runs.forget_job(job)
+        self.writer.withdraw(job_key(job.job_id), progress_key(job.job_id))
+        _log.info('job withdrawn', job=job.job_id, queue=job.queue.name)
+        return True
 
     def _accept(self, job: Job, committed: bool) -> None:
         job.accepted = committed
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -115,6 +115,13 @@
                 if run.task is not None and run.task.step.job is job:
                     self.stop(books, run)
 
+    def forget_job(self, job: Job) -> None:
+        """Give back the room of a job none of whose starts was sent."""
+        for books in self._state.books_by_worker.values():
+            for run in list(books.run_by_key.values()):
+                if run.task is not None and run.task.step.job is job:
+                    books.release(run.key)
+
     def stop(self, books: WorkerBooks, run: PlacedRun) -> None:
         """Order a run's stop, again until its end is known."""
         if not run.stopping:
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -95,6 +95,37 @@
 
         self.play(scene)
 
+    def test_a_job_that_was_not_sent_is_withdrawn(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.REFUSES
+            first = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
+            await asyncio.sleep(0.1)
+            other = JobId('f' * 16)
+            second = asyncio.create_task(owner.submit(other, _QUEUE, _SPEC))
+            self.assertIs(False, await second)
+            self.assertNotIn(other, owner.state.job_by_id)
+            self.store.fault = None
+            self.assertTrue(await first)
+            await asyncio.sleep(0.1)
+            self.assertIsNone(owner.phase(other))
+
+        self.play(scene)
+
+    def test_a_job_that_a_next_owner_lacks_was_not_taken(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.REFUSES
+            first = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
+            await asyncio.sleep(0.1)
+            # The next owner is faster than the owner's next try.
+            view = owner.writer.view
+            async with view.lock:
+                self.store.fault = None
+                following = await self.take(1)
+            self.assertIs(False, await first)
+            self.assertIsNone(following.phase(_JOB))
+
+        self.play(scene)
+
     def test_a_job_is_accepted_once(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             outcomes = await asyncio.gather(
