--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from typing import NamedTuple
 
 from orchidrail.shard.books import WorkerBooks
@@ -44,7 +44,7 @@
         Workers that may be used.
     """
     spec = step.spec
-    ordered = _ordered(step, len(tasks), open_books)
+    ordered = _ordered(step, open_books)
     if spec.one_rack and spec.gang:
         within = _within_one_rack(step, tasks, ordered)
         if within:
@@ -57,50 +57,26 @@
 
 def _ordered(
     step: StepState,
-    wanted: int,
     open_books: list[WorkerBooks],
 ) -> list[WorkerBooks]:
     """Best worker first: near the data, of a good pace, then the tightest.
 
     Urgent work goes to usual workers and leaves slower ones to work that has
     time. Tight packing keeps whole stretches of other workers free for wide
-    steps. An urgent step stays within one zone where it can: it is done only
-    when all its tasks are, so spread over all zones it would be held up by the
-    loss of any.
+    steps.
     """
     rack = step.spec.data_rack
-    urgent = step.job.queue.priority == 0
-    order = _URGENT_ORDER if urgent else _OTHER_ORDER
-    place_by_zone = _rank_zones(step, wanted, open_books) if urgent else {}
+    order = _URGENT_ORDER if step.job.queue.priority == 0 else _OTHER_ORDER
     return sorted(
         open_books,
         key=lambda books: (
             bool(rack) and books.entry.rack != rack,
             order[books.pace],
-            place_by_zone.get(books.entry.zone, 0),
             books.free.millicores,
         ),
     )
 
 
-def _rank_zones(
-    step: StepState,
-    wanted: int,
-    open_books: list[WorkerBooks],
-) -> dict[str, int]:
-    """Return each zone's place, the one with room for most tasks first."""
-    copies_by_zone: Counter[str] = Counter()
-    spec = step.spec
-    for books in open_books:
-        room = books.copies(step.key, spec.charged, spec.most_per_worker)
-        copies_by_zone[books.entry.zone] += room
-    roomiest = sorted(
-        copies_by_zone,
-        key=lambda zone: (copies_by_zone[zone] < wanted, -copies_by_zone[zone]),
-    )
-    return {zone: place for place, zone in enumerate(roomiest)}
-
-
 def _fill(
     step: StepState,
     tasks: list[Task],
