--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -42,6 +42,9 @@
 #: Pause after advice could not be had.
 _ADVICE_PAUSE: Seconds = 0.3
 _REPORT_EVERY: Seconds = 1.0
+#: Silence of the journal after which nothing is placed: a start waits for it,
+#: and tickets run out meanwhile. It answers in 8 ms, in 0.3 s where it is slow.
+_JOURNAL_SILENT: Seconds = 0.7
 _MILLIS = 1000
 
 
@@ -103,6 +106,8 @@
             for books in self._state.books_by_worker.values()
             if books.open(now)
         ]
+        if self._waits_for_journal(ranked, now):
+            return
         earmarked: set[WorkerId] = set()
         earmarks = 0
         reason_by_job: dict[JobId, WaitReason] = {}
@@ -127,6 +132,17 @@
                 reason_by_job[step.job.job_id] = _reason(step, usable)
         self._note_waits(reason_by_job, now)
 
+    def _waits_for_journal(
+        self,
+        ranked: list[tuple[Rank, StepState]],
+        now: Seconds,
+    ) -> bool:
+        if self._state.writer.unconfirmed_for() < _JOURNAL_SILENT:
+            return False
+        waiting = (step.job.job_id for _, step in ranked if step.startable())
+        self._note_waits(dict.fromkeys(waiting, WaitReason.JOURNAL), now)
+        return True
+
     def _note_waits(
         self,
         reason_by_job: dict[JobId, WaitReason],
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -17,7 +17,7 @@
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.store import Topic
-from orchidrail.store.memory import MemoryStore
+from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.testing import AsyncTestCase
 from orchidrail.types import (
     Address,
@@ -196,6 +196,25 @@
 
         self.play(scene)
 
+    def test_nothing_is_placed_while_the_journal_is_silent(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            store = shard.state.writer.view.store
+            assert isinstance(store, MemoryStore)
+            store.fault = StoreFault.REFUSES
+            shard.state.writer.confirmed_at -= 1
+            waiting = _make_job('a' * 16, StepSpec(1), 1, advice=False)
+            shard.add(waiting)
+            await asyncio.sleep(_SOON)
+            task = waiting.steps(0)[0].tasks[0]
+            self.assertIs(TaskPhase.WAITING, task.phase)
+            store.fault = None
+            await asyncio.sleep(0.4)
+            self.assertIs(TaskPhase.PLACED, task.phase)
+            self.assertIn('journal', waiting.waits.describe(time.monotonic()))
+
+        self.play(scene)
+
     def test_a_job_tells_what_it_waited_for(self) -> None:
         async def scene(shard: _Scene) -> None:
             await shard.add_worker('w-1')
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -23,6 +24,8 @@
 #: Peers that must fail in a row before that is concluded: one may be cut off
 #: as this machine is, and not know it yet.
 _RELAYS_TRIED = 2
+#: Tries of one write, each beside the last, while no peer can help.
+_TRIES_IN_SILENCE = 4
 #: Silence of a way after which the next is tried beside it. The store answers
 #: in 8 ms; where it is slow (0.3 s) each call is made twice.
 _BESIDE_AFTER: Seconds = 0.12
@@ -132,7 +135,7 @@
             self._probe(call)
         answers: list[RawAnswer] = []
         pending: set[asyncio.Task[RawAnswer]] = set()
-        for way in self._ways():
+        for way in self._ways(call):
             pending.add(self._attempt(way, call))
             done, pending = await asyncio.wait(
                 pending,
@@ -150,11 +153,16 @@
             answers.extend(task.result() for task in done)
         return self._conclude(answers)
 
-    def _ways(self) -> list[Caller]:
-        """Return the ways to try, the most promising first; never none."""
+    def _ways(self, call: RawCall) -> list[Caller]:
+        """Return the ways to try, the most promising first; never none.
+
+        A store that is silent for all is written to again and again, so that
+        its return is noticed at once.
+        """
         now = self._clock()
         if now < self._avoid_relay_until:
-            return [self._call_directly]
+            tries = 1 if call.method == 'GET' else _TRIES_IN_SILENCE
+            return list(itertools.repeat(self._call_directly, tries))
         if self._silent or now < self._avoid_direct_until:
             return [self._call_relay, self._call_directly]
         return [self._call_directly, self._call_relay]
--- a/orchidrail/store/tests/test_relay.py
+++ b/orchidrail/store/tests/test_relay.py
@@ -92,6 +92,31 @@
         )
         self.run_async(scene())
 
+    def test_a_write_is_tried_again_beside_one_without_answer(self) -> None:
+        async def scene() -> None:
+            await caller(_CALL)
+            await caller(_CALL)
+            self.ways.clear()
+            answer = await asyncio.wait_for(caller(RawCall('POST', '/x')), 0.6)
+            self.assertEqual(_OK, answer.status)
+            self.assertEqual(['direct', 'direct', 'direct'], self.ways)
+
+        async def hang_twice(call: RawCall) -> RawAnswer:
+            self.ways.append('direct')
+            if call.method == 'POST' and len(self.ways) > 2:
+                return RawAnswer(_OK)
+            await asyncio.sleep(0 if call.method == 'GET' else 1)
+            return RawAnswer(0)
+
+        self.relayed = RawAnswer(0)
+        caller = RelayedCaller(
+            hang_twice,
+            self._call_relay,
+            lambda: self.now,
+            lambda way, status: None,
+        )
+        self.run_async(scene())
+
     def test_the_return_of_the_store_is_noticed_at_the_next_call(self) -> None:
         self.direct = RawAnswer(0)
         self.relayed = RawAnswer(0)
--- a/orchidrail/work/waits.py
+++ b/orchidrail/work/waits.py
@@ -17,6 +17,8 @@
     ROOM = 'room'
     #: No worker that may run it takes new work.
     WORKERS = 'workers'
+    #: The journal does not answer, and a start waits for it.
+    JOURNAL = 'journal'
     #: It was given to a worker that does not answer.
     LOST_WORKER = 'lostWorker'
 
