Keep the workers that have room soonest for large tasks and gangs

Cause (demand-forecast, jobs that waited for room): only gangs were kept room, and of the workers with most cores free. A single task on 8 GPUs of a worker waited for 5 to 52 s while tasks on one GPU took each that became free; three in ten workers are permitted to a step, so there were two or three to wait for.

Change: a step whose tasks need half of a worker or more is kept workers too, those that will have room for it soonest by the progress and the estimates of what runs there. Test: test_small_tasks_do_not_starve_a_large_one failed first.

--- /dev/null
+++ b/orchidrail/shard/earmarks.py
@@ -0,0 +1,84 @@
+"""Workers that are kept free for a step that waits for much room at once.
+
+Without that, small tasks take what becomes free, and a task that needs most of
+a worker, or a gang, waits for as long as there are any.
+"""
+
+from __future__ import annotations
+
+import math
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.types import Seconds, WorkerId
+from orchidrail.work.job import StepState
+from orchidrail.work.model import Size, StepSpec
+
+#: A worker holds at most so many tasks that count as large.
+_LARGE_COPIES = 2
+#: Share done from which a run's progress tells more than its estimate.
+_TELLING_SHARE = 0.2
+#: A run that has outlasted its estimate is taken to end after this long.
+_OVERDUE_ENDS_IN: Seconds = 0.5
+_WHOLE = 100
+
+
+def needs_earmarks(spec: StepSpec, workers: list[WorkerBooks]) -> bool:
+    """Whether a step's tasks can't be fitted in one by one.
+
+    A gang needs all of its room at once, a large task most of a worker.
+    """
+    if spec.gang:
+        return True
+    most = max(
+        (spec.charged.times_in(books.entry.capacity) for books in workers),
+        default=0,
+    )
+    return 0 < most <= _LARGE_COPIES
+
+
+def choose_earmarks(
+    step: StepState,
+    missing: int,
+    candidates: list[WorkerBooks],
+    now: Seconds,
+) -> set[WorkerId]:
+    """Choose the workers that will have room for `missing` tasks soonest."""
+    size = step.spec.charged
+    waits = [(time_to_room(books, size, now), books) for books in candidates]
+    waits.sort(key=lambda pair: pair[0])
+    kept: set[WorkerId] = set()
+    for wait, books in waits:
+        if missing <= 0 or wait == math.inf:
+            break
+        kept.add(books.worker)
+        missing -= size.times_in(books.entry.capacity)
+    return kept
+
+
+def time_to_room(books: WorkerBooks, size: Size, now: Seconds) -> Seconds:
+    """Return after how long a worker is expected to have room for `size`."""
+    free = books.free
+    if size.fits(free):
+        return 0
+    ends = sorted(
+        (time_left(run, now), run.size)
+        for run in books.run_by_key.values()
+        if run.size is not None
+    )
+    for left, freed in ends:
+        free += freed
+        if size.fits(free):
+            return left
+    return math.inf
+
+
+def time_left(run: PlacedRun, now: Seconds) -> Seconds:
+    """Return after how long a run is expected to end."""
+    if run.task is None or run.task.step.spec.lasting:
+        return math.inf
+    began = run.confirmed_at if run.confirmed_at < now else run.placed_at
+    passed = now - began
+    share = run.share_done / _WHOLE
+    if share > _TELLING_SHARE:
+        return passed * (1 - share) / share
+    return max(_OVERDUE_ENDS_IN, run.task.step.spec.estimate - passed)
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -11,6 +11,7 @@
 from orchidrail.shard.advice_desk import AdviceDesk, Question
 from orchidrail.shard.approvals import Approvals
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.earmarks import choose_earmarks, needs_earmarks
 from orchidrail.shard.placing import Placement, choose_workers, suits
 from orchidrail.shard.ranking import Rank, rank_step
 from orchidrail.shard.runs import RunTracker
@@ -231,7 +232,7 @@
             chosen = choose_workers(step, tasks, usable)
             if chosen:
                 self._runs.launch(step, chosen)
-            return self._earmark(step, tasks, chosen, usable)
+            return _earmark(step, len(tasks) - len(chosen), usable, now)
         good_by_worker = step.permits.good_by_worker
         good = [books for books in usable if good_by_worker.get(books.worker)]
         chosen = choose_workers(step, tasks, good)
@@ -241,7 +242,7 @@
             return set()
         if not step.permits.asking:
             self._ask_for_more(rank, step, len(tasks) - len(chosen), usable)
-        return self._earmark(step, tasks, chosen, good)
+        return _earmark(step, len(tasks) - len(chosen), good, now)
 
     def _ask_for_more(
         self,
@@ -286,25 +287,6 @@
         if stale and not step.permits.asking:
             self._renew(rank, step, stale)
 
-    def _earmark(
-        self,
-        step: StepState,
-        tasks: list[Task],
-        chosen: list[Placement],
-        good: list[WorkerBooks],
-    ) -> set[WorkerId]:
-        """Choose workers to be kept free until the step has room."""
-        missing = len(tasks) - len(chosen)
-        if not missing or not step.spec.gang:
-            return set()
-        kept: set[WorkerId] = set()
-        for books in sorted(good, key=lambda one: -one.free.millicores):
-            if missing <= 0:
-                break
-            kept.add(books.worker)
-            missing -= step.spec.charged.times_in(books.entry.capacity)
-        return kept
-
     def _renew(
         self,
         rank: Rank,
@@ -393,6 +375,17 @@
             self._runs.launch(step, chosen)
 
 
+def _earmark(
+    step: StepState,
+    missing: int,
+    candidates: list[WorkerBooks],
+    now: Seconds,
+) -> set[WorkerId]:
+    if not missing or not needs_earmarks(step.spec, candidates):
+        return set()
+    return choose_earmarks(step, missing, candidates, now)
+
+
 def _reason(step: StepState, usable: list[WorkerBooks]) -> WaitReason:
     """Return what the tasks of a step that were not placed wait for."""
     if step.job.queue.advice is None:
--- /dev/null
+++ b/orchidrail/shard/tests/test_earmarks.py
@@ -0,0 +1,62 @@
+"""Tests of which workers are kept free for large tasks and gangs."""
+
+from __future__ import annotations
+
+import math
+
+from testtools import TestCase
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.earmarks import (
+    choose_earmarks,
+    needs_earmarks,
+    time_left,
+    time_to_room,
+)
+from orchidrail.shard.tests.test_placing import make_books, make_step
+from orchidrail.types import RunNumber
+from orchidrail.work.model import Size, StepSpec
+from orchidrail.workers.port import RunKey
+
+
+def _place(books: WorkerBooks, spec: StepSpec, share: float = 0) -> PlacedRun:
+    """Put a run on a worker that it was confirmed on at time 10."""
+    task = make_step(spec).tasks[0]
+    key = RunKey(task.key, RunNumber(len(books.run_by_key) + 1))
+    run = PlacedRun(key, spec.charged, task, 10, confirmed_at=10)
+    run.share_done = share
+    books.charge(run, task.step.key)
+    return run
+
+
+class EarmarksTest(TestCase):
+    def test_only_gangs_and_large_tasks_need_them(self) -> None:
+        books = [make_books('a')]
+        small, large = StepSpec(1, Size(1000)), StepSpec(1, Size(2000))
+        gang = StepSpec(2, Size(1000), gang=True)
+        needs = [needs_earmarks(spec, books) for spec in (small, large, gang)]
+        self.assertEqual([False, True, True], needs)
+
+    def test_the_worker_that_is_free_soonest_is_kept(self) -> None:
+        long, short = make_books('long'), make_books('short')
+        _place(long, StepSpec(1, Size(3000), estimate=9))
+        _place(short, StepSpec(1, Size(3000), estimate=2))
+        step = make_step(StepSpec(1, Size(4000)))
+        kept = choose_earmarks(step, 1, [long, short], now=11)
+        self.assertEqual({'short'}, kept)
+
+    def test_room_comes_when_enough_has_ended(self) -> None:
+        books = make_books('a')
+        _place(books, StepSpec(1, Size(2000), estimate=2))
+        _place(books, StepSpec(1, Size(2000), estimate=5))
+        self.assertEqual(1, time_to_room(books, Size(2000), now=11))
+        self.assertEqual(4, time_to_room(books, Size(4000), now=11))
+        self.assertEqual(math.inf, time_to_room(books, Size(5000), now=11))
+
+    def test_progress_tells_more_than_an_estimate(self) -> None:
+        run = _place(make_books('a'), StepSpec(1, estimate=2), share=50)
+        self.assertEqual(4, time_left(run, now=14))
+
+    def test_a_lasting_run_never_ends(self) -> None:
+        run = _place(make_books('a'), StepSpec(1, lasting=True))
+        self.assertEqual(math.inf, time_left(run, now=14))
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -215,6 +215,22 @@
 
         self.play(scene)
 
+    def test_small_tasks_do_not_starve_a_large_one(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            first = _make_job('a' * 16, StepSpec(2, Size(20_000)), 1, False)
+            shard.add(first)
+            await asyncio.sleep(_SOON)
+            large = _make_job('b' * 16, StepSpec(1, Size(40_000)), 1, False)
+            small = _make_job('c' * 16, StepSpec(1, Size(20_000)), 2, False)
+            shard.add(large)
+            shard.add(small)
+            await asyncio.sleep(_SOON)
+            phases = [job.steps(0)[0].tasks[0].phase for job in (large, small)]
+            self.assertEqual([TaskPhase.WAITING, TaskPhase.WAITING], phases)
+
+        self.play(scene)
+
     def test_a_job_tells_what_it_waited_for(self) -> None:
         async def scene(shard: _Scene) -> None:
             await shard.add_worker('w-1')
--- a/orchidrail/shard/tests/test_placing.py
+++ b/orchidrail/shard/tests/test_placing.py
@@ -20,7 +20,8 @@
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
 
 
-def _books(name: str, cores: int = 4, rack: str = 'r-1') -> WorkerBooks:
+def make_books(name: str, cores: int = 4, rack: str = 'r-1') -> WorkerBooks:
+    """Return the books of an idle worker."""
     entry = msgspec.structs.replace(
         make_entry(name, cores),
         labels=('kind-a', rack),
@@ -37,12 +38,13 @@
     return WorkerBooks(session)
 
 
-def _step(spec: StepSpec) -> StepState:
+def make_step(spec: StepSpec) -> StepState:
+    """Return the only step of a job."""
     return next(make_job(spec).open_steps(0))
 
 
 def _choose(spec: StepSpec, *books: WorkerBooks) -> list[str]:
-    step = _step(spec)
+    step = make_step(spec)
     chosen = choose_workers(step, step.startable(), list(books))
     return [placement.books.worker for placement in chosen]
 
@@ -50,40 +52,46 @@
 class PlacingTest(TestCase):
     def test_a_step_takes_what_has_room(self) -> None:
         spec = StepSpec(3, size=Size(2000))
-        self.assertEqual(['a', 'a'], _choose(spec, _books('a')))
+        self.assertEqual(['a', 'a'], _choose(spec, make_books('a')))
 
     def test_a_gang_is_placed_whole_or_not(self) -> None:
         spec = StepSpec(3, size=Size(2000), gang=True)
-        self.assertEqual([], _choose(spec, _books('a')))
-        self.assertEqual(3, len(_choose(spec, _books('a'), _books('b'))))
+        self.assertEqual([], _choose(spec, make_books('a')))
+        self.assertEqual(
+            3, len(_choose(spec, make_books('a'), make_books('b')))
+        )
 
     def test_the_tightest_worker_goes_first(self) -> None:
         spec = StepSpec(1, size=Size(2000))
-        self.assertEqual(['b'], _choose(spec, _books('a', 8), _books('b', 2)))
+        self.assertEqual(
+            ['b'], _choose(spec, make_books('a', 8), make_books('b', 2))
+        )
 
     def test_data_draws_tasks_to_its_rack(self) -> None:
         spec = StepSpec(1, size=Size(1000), data_rack='r-2')
-        near = _books('near', 8, 'r-2')
-        self.assertEqual(['near'], _choose(spec, _books('far', 2), near))
+        near = make_books('near', 8, 'r-2')
+        self.assertEqual(['near'], _choose(spec, make_books('far', 2), near))
 
     def test_a_gang_that_shares_much_stays_in_one_rack(self) -> None:
         spec = StepSpec(2, size=Size(2000), gang=True, one_rack=True)
-        racks = _books('a', 2, 'r-1'), _books('b', 4, 'r-2')
+        racks = make_books('a', 2, 'r-1'), make_books('b', 4, 'r-2')
         self.assertEqual(['b', 'b'], _choose(spec, *racks))
 
     def test_copies_on_one_worker_are_limited(self) -> None:
         spec = StepSpec(3, size=Size(100), most_per_worker=1)
-        self.assertEqual(2, len(_choose(spec, _books('a'), _books('b'))))
+        self.assertEqual(
+            2, len(_choose(spec, make_books('a'), make_books('b')))
+        )
 
     def test_a_label_is_needed(self) -> None:
-        self.assertTrue(suits(StepSpec(1, label='kind-a'), _books('a')))
-        self.assertFalse(suits(StepSpec(1, label='kind-b'), _books('a')))
+        self.assertTrue(suits(StepSpec(1, label='kind-a'), make_books('a')))
+        self.assertFalse(suits(StepSpec(1, label='kind-b'), make_books('a')))
 
     def test_what_fills_is_kept_from_what_serves(self) -> None:
-        books = _books('a')
+        books = make_books('a')
         serving = StepSpec(1, size=Size(10), target=0.1, lasting=True)
         filling = StepSpec(1, size=Size(10), fills=True)
-        step = _step(serving)
+        step = make_step(serving)
         key = RunKey(TaskKey(f'{step.key}.0'), RunNumber(1))
         run = PlacedRun(key, Size(10), step.tasks[0], 0)
         books.charge(run, step.key)
@@ -93,9 +101,9 @@
         self.assertTrue(suits(filling, books))
 
     def test_urgent_work_leaves_slower_workers_to_other_work(self) -> None:
-        slow, usual = _books('slow'), _books('usual', cores=8)
+        slow, usual = make_books('slow'), make_books('usual', cores=8)
         slow.pace = Pace.SLOWER
-        step = _step(StepSpec(1, Size(1000)))
+        step = make_step(StepSpec(1, Size(1000)))
         urgent = msgspec.structs.replace(step.job.queue, priority=0)
         other = msgspec.structs.replace(step.job.queue, priority=1)
         for queue, expected in ((urgent, 'usual'), (other, 'slow')):
@@ -107,7 +115,7 @@
             self.assertEqual(expected, chosen[0].books.worker)
 
     def test_a_gang_member_that_is_done_does_not_stand_still(self) -> None:
-        step = _step(StepSpec(2, gang=True))
+        step = make_step(StepSpec(2, gang=True))
         key = RunKey(step.tasks[0].key, RunNumber(1))
         run = PlacedRun(key, Size(), step.tasks[0], 0)
         for share, expected in ((0, False), (40, True), (100, False)):
