Leave room for urgent work, as much as it used at its last peak

Ruled out: stopping what runs (a stop takes 0.4 s, most of the urgent tasks' time).

Change: work that can wait 2 s more and still meet its objective leaves free what urgent work used at its last peak (fading over 10 s, a quarter of the service's room at the most). The pass over waiting steps is split up.

Tests: test_headroom.

--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -104,6 +104,13 @@
         run.progress_at = now
 
 
+def _urgent_share(run: PlacedRun) -> int:
+    """Return the millicores that a run uses for an urgent queue."""
+    if run.task is None or run.size is None:
+        return 0
+    return run.size.millicores if run.task.step.job.urgent else 0
+
+
 class WorkerBooks:
     """Room, runs and standing of one worker.
 
@@ -122,6 +129,8 @@
         self.count_by_step: Counter[str] = Counter()
         #: Tasks here that fill, and tasks whose answers' times are watched.
         self.count_by_role: Counter[TaskRole] = Counter()
+        #: What tasks of urgent queues use here.
+        self.urgent_millicores = 0
         self.rests_until: Seconds = 0
         #: Whether something that runs here makes no progress.
         self.stalled = False
@@ -162,6 +171,7 @@
         self.count_by_step[step_key] += 1
         if run.task is not None:
             self.count_by_role[role_of(run.task.step.spec)] += 1
+            self.urgent_millicores += _urgent_share(run)
 
     def release(self, key: RunKey) -> PlacedRun | None:
         """Free the room of a run that has surely ended."""
@@ -176,6 +186,7 @@
         self.count_by_step[step_key] -= 1
         if run.task is not None:
             self.count_by_role[role_of(run.task.step.spec)] -= 1
+            self.urgent_millicores -= _urgent_share(run)
         if not self.count_by_step[step_key]:
             self.count_by_step.pop(step_key)
         return run
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -12,8 +12,9 @@
 from orchidrail.shard.approvals import Approvals
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.earmarks import choose_earmarks, needs_earmarks
+from orchidrail.shard.headroom import Headroom
 from orchidrail.shard.placing import Placement, choose_workers, suits
-from orchidrail.shard.ranking import Rank, rank_step
+from orchidrail.shard.ranking import Rank, has_time, rank_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.types import JobId, Seconds, WorkerId
@@ -49,6 +50,41 @@
 _MILLIS = 1000
 
 
+class _Pass:
+    """What one pass over the waiting steps has left and found out."""
+
+    def __init__(
+        self,
+        open_books: list[WorkerBooks],
+        now: Seconds,
+        wall: Seconds,
+    ) -> None:
+        """Start with all open workers."""
+        self.now = now
+        self.wall = wall
+        self.reason_by_job: dict[JobId, WaitReason] = {}
+        self._open_books = open_books
+        self._earmarked: set[WorkerId] = set()
+        self._earmarks = 0
+
+    def usable(self, step: StepState) -> list[WorkerBooks]:
+        """Return the workers that a step may use now."""
+        usable = [
+            books
+            for books in self._open_books
+            if books.worker not in self._earmarked
+            and books.entry.service == step.job.queue.service
+            and suits(step.spec, books)
+        ]
+        return _spare(step, usable) if step.failed_on else usable
+
+    def earmark(self, workers: set[WorkerId]) -> None:
+        """Keep workers from the steps that come after."""
+        if workers and self._earmarks < _EARMARKS:
+            self._earmarks += 1
+            self._earmarked.update(workers)
+
+
 class Placer:
     """Places the shard's waiting tasks.
 
@@ -70,6 +106,7 @@
         self._runs = runs
         self._desk = desk
         self._approvals = Approvals()
+        self._headroom = Headroom()
         self._steps_by_job: dict[JobId, list[StepState]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -102,36 +139,49 @@
             for step in steps
         ]
         ranked.sort(key=lambda pair: pair[0])
-        open_books = [
-            books
-            for books in self._state.books_by_worker.values()
-            if books.open(now)
-        ]
         if self._waits_for_journal(ranked, now):
             return
-        earmarked: set[WorkerId] = set()
-        earmarks = 0
-        reason_by_job: dict[JobId, WaitReason] = {}
+        books_by_worker = self._state.books_by_worker
+        open_books = [one for one in books_by_worker.values() if one.open(now)]
+        self._headroom.note(open_books, now)
+        this_pass = _Pass(open_books, now, wall)
         for rank, step in ranked:
             tasks = step.startable()
-            if not tasks:
-                continue
-            usable = [
-                books
-                for books in open_books
-                if books.worker not in earmarked
-                and books.entry.service == step.job.queue.service
-                and suits(step.spec, books)
-            ]
-            if step.failed_on:
-                usable = _spare(step, usable)
-            kept = self._place_step(rank, step, tasks, usable, now)
-            if kept and earmarks < _EARMARKS:
-                earmarks += 1
-                earmarked.update(kept)
-            if step.startable():
-                reason_by_job[step.job.job_id] = _reason(step, usable)
-        self._note_waits(reason_by_job, now)
+            if tasks:
+                self._look_at(rank, step, tasks, this_pass)
+        self._note_waits(this_pass.reason_by_job, now)
+
+    def _look_at(
+        self,
+        rank: Rank,
+        step: StepState,
+        tasks: list[Task],
+        this_pass: _Pass,
+    ) -> None:
+        """Place what a step may start, or say what it waits for."""
+        usable = this_pass.usable(step)
+        if has_time(step, this_pass.wall):
+            tasks = self._leave_headroom(step, tasks, usable)
+        reason = WaitReason.HEADROOM
+        if tasks:
+            kept = self._place_step(rank, step, tasks, usable, this_pass.now)
+            this_pass.earmark(kept)
+            reason = _reason(step, usable)
+        if step.startable():
+            this_pass.reason_by_job[step.job.job_id] = reason
+
+    def _leave_headroom(
+        self,
+        step: StepState,
+        tasks: list[Task],
+        usable: list[WorkerBooks],
+    ) -> list[Task]:
+        """Return the tasks that may start beside urgent work to come."""
+        size = step.spec.charged.millicores
+        left = self._headroom.left_for_others(step.job.queue.service, usable)
+        if not size or len(tasks) * size <= left:
+            return tasks
+        return [] if step.spec.gang else tasks[: max(0, left // size)]
 
     def _waits_for_journal(
         self,
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -66,7 +66,7 @@
     steps.
     """
     rack = step.spec.data_rack
-    order = _URGENT_ORDER if step.job.queue.priority == 0 else _OTHER_ORDER
+    order = _URGENT_ORDER if step.job.urgent else _OTHER_ORDER
     return sorted(
         open_books,
         key=lambda books: (
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -9,6 +9,8 @@
 Rank = tuple[float, ...]
 
 _URGENT, _IN_TIME, _LATE = 0, 1, 2
+#: A step whose latest start is nearer than this takes what room there is.
+_SPARE: Seconds = 2.0
 
 
 def longest_chain(spec: JobSpec, queue: QueueSettings) -> Seconds:
@@ -31,6 +33,13 @@
     return began + job.queue.stretch * chain + job.queue.target
 
 
+def has_time(step: StepState, wall: Seconds) -> bool:
+    """Whether a step still meets its objective if it waits for a while."""
+    job = step.job
+    latest = due_at(job, step.round_number) - longest_chain(job.spec, job.queue)
+    return not job.urgent and wall < latest - _SPARE
+
+
 def rank_step(step: StepState, wall: Seconds) -> Rank:
     """Return the rank of a waiting step; the least goes first.
 
@@ -38,7 +47,7 @@
     latest time at which it must start; then what is late.
     """
     job = step.job
-    if job.queue.priority == 0:
+    if job.urgent:
         return (_URGENT, job.record.accepted_at)
     deadline = due_at(job, step.round_number)
     tier = _LATE if wall > deadline else _IN_TIME
--- /dev/null
+++ b/orchidrail/shard/tests/test_headroom.py
@@ -0,0 +1,52 @@
+"""Tests of the room that is kept for urgent work."""
+
+from __future__ import annotations
+
+import msgspec
+from testtools import TestCase
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.headroom import Headroom
+from orchidrail.shard.tests.test_placing import make_books, make_step
+from orchidrail.types import RunNumber
+from orchidrail.work.model import Size, StepSpec
+from orchidrail.workers.port import RunKey
+
+
+def _run(books: WorkerBooks, millicores: int, priority: int) -> RunKey:
+    step = make_step(StepSpec(1, Size(millicores)))
+    queue = msgspec.structs.replace(step.job.queue, priority=priority)
+    step.job.record = msgspec.structs.replace(step.job.record, queue=queue)
+    key = RunKey(step.tasks[0].key, RunNumber(len(books.run_by_key) + 1))
+    size = Size(millicores)
+    books.charge(PlacedRun(key, size, step.tasks[0], 0), step.key)
+    return key
+
+
+class HeadroomTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.headroom = Headroom()
+        self.books = make_books('a', cores=40)
+        self.service = self.books.entry.service
+
+    def left(self, now: float) -> int:
+        self.headroom.note([self.books], now)
+        return self.headroom.left_for_others(self.service, [self.books])
+
+    def test_without_urgent_work_all_is_left_to_others(self) -> None:
+        _run(self.books, 10_000, priority=1)
+        self.assertEqual(30_000, self.left(1))
+
+    def test_what_a_peak_used_is_kept_free_and_forgotten(self) -> None:
+        key = _run(self.books, 8_000, priority=0)
+        self.assertEqual(32_000, self.left(1))
+        self.books.release(key)
+        self.assertEqual(32_000, self.left(1))
+        self.assertGreater(self.left(11), 36_000)
+
+    def test_only_a_share_is_ever_kept(self) -> None:
+        key = _run(self.books, 30_000, priority=0)
+        self.left(1)
+        self.books.release(key)
+        self.assertEqual(30_000, self.left(1))
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -161,6 +161,11 @@
         """Settings of its queue when it was accepted."""
         return self.record.queue
 
+    @property
+    def urgent(self) -> bool:
+        """Whether its queue goes before all others."""
+        return self.queue.priority == 0
+
     @property
     def ended(self) -> bool:
         """Whether nothing more is to run."""
--- a/orchidrail/work/waits.py
+++ b/orchidrail/work/waits.py
@@ -15,6 +15,8 @@
     ADVICE = 'advice'
     #: Workers that may run it have no room.
     ROOM = 'room'
+    #: What is free is kept for urgent work.
+    HEADROOM = 'headroom'
     #: No worker that may run it takes new work.
     WORKERS = 'workers'
     #: The journal does not answer, and a start waits for it.
