--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -39,10 +39,8 @@
 _JOURNAL_WAIT: Seconds = 0.5
 #: Time in which a start must reach its worker, on the worker's clock; later
 #: the worker refuses it, so that a late copy harms nothing.
-#: An answer takes 1 to 4 ms; until that time is over the task can't be
-#: started elsewhere, and urgent tasks have 0.5 s to spare.
-START_LIFE: Seconds = 0.2
-_START_TIMEOUT: Seconds = 0.18
+START_LIFE: Seconds = 0.4
+_START_TIMEOUT: Seconds = 0.35
 #: Added where a time on the worker's clock is waited for.
 _CLOCK_SLACK: Seconds = 0.02
 _STOP_TIMEOUT: Seconds = 0.7
