--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -9,7 +9,6 @@
 import structlog
 from result import Err, Ok
 
-from orchidrail.ingress.come_back import ComeBack
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.table import PeerTable
@@ -31,9 +30,15 @@
 _RETRY_PAUSE: Seconds = 0.05
 #: Longest wait for one answer of the owner; a job is taken in some 20 ms.
 _ANSWER_WITHIN: Seconds = 1.0
-#: A submission without any owner is refused after this long, so that the
-#: caller can go to another machine in time.
-_GIVE_UP_AFTER: Seconds = 1.2
+#: When a refused caller should come back: the least that the header knows.
+#: Either it has waited for as long as it could, or this zone is cut off, and
+#: the entry point sends it to another one within 3 s.
+_COME_BACK_AFTER: Seconds = 1
+#: How often a submission that the owner holds looks whether it still owns.
+_LOOK_EVERY: Seconds = 0.1
+#: Silence of the owner after which its answer is not waited for; others take
+#: over after 0.6 s.
+_GIVEN_UP_AFTER: Seconds = 0.6
 #: Silence of the owner after which no job is sent to it: without an answer
 #: its caller could not be told that it has not run. It speaks each 0.1 s.
 _DOUBTED_AFTER: Seconds = 0.3
@@ -47,6 +52,9 @@
     retry_after: Seconds = 0
 
 
+_REFUSED = DeskAnswer(WorkCode.NOT_TAKEN, retry_after=_COME_BACK_AFTER)
+
+
 class JobDesk:
     """Answers for one gateway.
 
@@ -82,7 +90,6 @@
         self._handle_here = handle_here
         self._local_owner = local_owner
         self._clock = clock
-        self._come_back = ComeBack()
 
     async def submit(
         self,
@@ -109,22 +116,23 @@
         spec: JobSpec,
         patience: Seconds,
     ) -> DeskAnswer:
-        message = SubmitWork(
-            job_id=job_id,
-            queue=encode(queue),
-            spec=encode(spec),
-        )
         began = self._clock()
         uncertain = False
-        while not self._given_up(began, patience, uncertain):
+        while self._clock() - began < patience:
             if self._table.cut_off() and not uncertain:
                 break
-            code = await self._try_submit(message, began + patience)
+            left = patience - (self._clock() - began)
+            message = SubmitWork(
+                job_id=job_id,
+                queue=encode(queue),
+                spec=encode(spec),
+                patience=left,
+            )
+            code = await self._try_submit(message)
             if code is WorkCode.OK:
-                self._come_back.accept()
                 return DeskAnswer(code)
             if code is WorkCode.NOT_TAKEN and not uncertain:
-                return self._refuse()
+                return _REFUSED
             uncertain = uncertain or code is WorkCode.UNCERTAIN
             await asyncio.sleep(_RETRY_PAUSE)
         _log.info(
@@ -135,11 +143,7 @@
             owner=self._table.claim.name,
             epoch=self._table.claim.epoch,
         )
-        return DeskAnswer(WorkCode.UNCERTAIN) if uncertain else self._refuse()
-
-    def _refuse(self) -> DeskAnswer:
-        retry_after = self._come_back.refuse(self._clock())
-        return DeskAnswer(WorkCode.NOT_TAKEN, retry_after=retry_after)
+        return DeskAnswer(WorkCode.UNCERTAIN) if uncertain else _REFUSED
 
     async def query(self, job_id: JobId, patience: Seconds) -> DeskAnswer:
         """Return a job's state."""
@@ -161,41 +165,47 @@
             return owner.waiting_by_queue()[queue.name]
         return self._table.waiting_by_queue.get(queue.name, 0)
 
-    def _given_up(
-        self,
-        began: Seconds,
-        patience: Seconds,
-        uncertain: bool,
-    ) -> bool:
-        """Whether a submission is not tried again.
-
-        One that may have had an effect is tried for as long as its caller
-        waits; any other is refused early, so that its caller can go elsewhere.
-        """
-        limit = patience if uncertain else min(patience, _GIVE_UP_AFTER)
-        return self._clock() - began > limit
-
     def _owner_is_silent(self) -> bool:
         """Whether a job sent to the owner now would be in doubt."""
         if self._local_owner() is not None:
             return False
         return self._table.owner_silent_for() > _DOUBTED_AFTER
 
-    async def _try_submit(
-        self,
-        message: SubmitWork,
-        until: Seconds,
-    ) -> WorkCode:
+    async def _try_submit(self, message: SubmitWork) -> WorkCode:
         if self._owner_is_silent():
             return WorkCode.NOT_OWNER
-        left = max(_RETRY_PAUSE, until - self._clock())
-        answer = await self._ask_owner(message, min(left, _ANSWER_WITHIN))
+        answer = await self._ask_while_heard(message)
         if isinstance(answer, Ok):
             return answer.ok_value.code
         if answer.err_value is CallFailure.ANSWER_LOST:
             return WorkCode.UNCERTAIN
         return WorkCode.NOT_OWNER
 
+    async def _ask_while_heard(
+        self,
+        message: SubmitWork,
+    ) -> Ok[WorkAnswer] | Err[CallFailure]:
+        """Wait for the owner's answer while it is heard and owns.
+
+        It holds a job back while its journal is silent.
+        """
+        epoch = self._table.claim.epoch
+        patience = max(_RETRY_PAUSE, message.patience)
+        asking = asyncio.ensure_future(self._ask_owner(message, patience))
+        try:
+            while not asking.done():
+                await asyncio.wait((asking,), timeout=_LOOK_EVERY)
+                silent = self._table.owner_silent_for() > _GIVEN_UP_AFTER
+                gone = silent and self._local_owner() is None
+                if gone or self._table.claim.epoch != epoch:
+                    break
+        finally:
+            if not asking.done():
+                asking.cancel()
+        if asking.done() and not asking.cancelled():
+            return asking.result()
+        return Err(CallFailure.ANSWER_LOST)
+
     async def _ask_until(
         self,
         message: QueryWork | CancelWork,
--- a/orchidrail/instance/peer_service.py
+++ b/orchidrail/instance/peer_service.py
@@ -103,6 +103,7 @@
             message.job_id,
             _decode_queue(message.queue),
             decode_spec(message.spec),
+            message.patience,
         )
         return WorkAnswer(code=_CODE_BY_ACCEPTED[accepted])
 
--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -11,7 +11,12 @@
 from testtools.matchers import HasLength
 
 from orchidrail.journal import JournalView, JournalWriter, TakeOverError
-from orchidrail.journal.writer import append_once, current_owner, take_over
+from orchidrail.journal.writer import (
+    Place,
+    append_once,
+    current_owner,
+    take_over,
+)
 from orchidrail.store import KeyedRecord, Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.types import Address, Epoch, InstanceId, Offset
@@ -108,11 +113,13 @@
             await view.catch_up()
             self.store.fault = StoreFault.REFUSES
             record = [KeyedRecord('owner', b'late')]
-            self.assertIsNone(await append_once(view, record, Offset(0)))
+            place = await append_once(view, record, Offset(0))
+            self.assertIs(Place.FREE, place)
             self.store.fault = None
             await self._take('b', 0)
             await view.catch_up()
-            self.assertFalse(await append_once(view, record, Offset(0)))
+            place = await append_once(view, record, Offset(0))
+            self.assertIs(Place.THEIRS, place)
 
         self._run(contend())
 
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import structlog
@@ -47,6 +48,23 @@
     """The journal was not taken over; the text says why."""
 
 
+class Place(Enum):
+    """Whose records are at the place that an append names."""
+
+    #: Those of the append.
+    OURS = 'ours'
+    #: Another's, for good: the append can't be carried out any more.
+    THEIRS = 'theirs'
+    #: Nobody's yet: the store has refused the append.
+    FREE = 'free'
+    #: Not known: the append may have been carried out, or may be yet.
+    UNKNOWN = 'unknown'
+
+
+#: What ends the tries of an append.
+_DECIDED = frozenset((Place.OURS, Place.THEIRS))
+
+
 class Commit:
     """The end of one batch, awaited by those whose records are in it."""
 
@@ -119,6 +137,8 @@
         self._in_flight = Commit()
         self._in_flight.decide(committed=True)
         self._wanted = asyncio.Event()
+        #: Records that the store has refused and that are sent again.
+        self._refused: list[KeyedRecord] = []
 
     def put(self, key: str, value: bytes) -> Commit:
         """Write a value soon; an empty one removes the key."""
@@ -130,9 +150,21 @@
         return self._commit
 
     def withdraw(self, *keys: str) -> None:
-        """Take back values of the batch that is being filled."""
+        """Take back values that are certainly not in the store.
+
+        They are in the batch that is being filled, or in one that the store
+        has refused so far.
+        """
         for key in keys:
-            self._value_by_key.pop(key, None)
+            if self._value_by_key.pop(key, None) is None:
+                self._refused = [
+                    record for record in self._refused if record.key != key
+                ]
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the values that wait for the next append."""
+        return self._bytes
 
     def unconfirmed_for(self) -> Seconds:
         """Return for how long the ownership has not been confirmed."""
@@ -176,15 +208,12 @@
         ]
         commit = self._commit
         self._in_flight = commit
-        commit.may_be_written = True
         self._value_by_key = {}
         self._bytes = 0
         self._commit = Commit()
         self._wanted.clear()
-        for number, chunk in enumerate(_chunks(records)):
-            if not await self._append(chunk):
-                # Another's record is in the place of this chunk for good.
-                commit.may_be_written = number > 0
+        for chunk in _chunks(records):
+            if not await self._append(chunk, commit):
                 self._lose_ownership(commit)
                 return
         commit.decide(committed=True)
@@ -194,32 +223,49 @@
         commit.decide(committed=False)
         self._commit.decide(committed=False)
 
-    async def _append(self, records: list[KeyedRecord]) -> bool:
-        """Append, however long it takes; False if another owner wrote."""
+    async def _append(
+        self,
+        records: list[KeyedRecord],
+        commit: Commit,
+    ) -> bool:
+        """Append, however long it takes; False if another owner wrote.
+
+        What the store refuses may be withdrawn before the next try; what may
+        have got there is sent again unchanged.
+        """
+        written_before = commit.may_be_written
+        doubtful = False
         while True:
+            commit.may_be_written = True
             sent_at = self._clock()
-            decided = await append_once(self.view, records, self._end)
-            if decided is not None:
+            place = await append_once(self.view, records, self._end)
+            if place in _DECIDED:
                 self.trouble = ''
-                self._end = Offset(self._end + len(records))
-                if decided:
-                    self.confirmed_at = sent_at
-                return decided
+                break
             self.trouble = 'no append taken'
+            doubtful = doubtful or place is Place.UNKNOWN
+            commit.may_be_written = doubtful or written_before
+            self._refused = [] if commit.may_be_written else records
             await asyncio.sleep(_RETRY_PAUSE)
+            records = records if commit.may_be_written else self._refused
+        self._refused = []
+        if place is Place.THEIRS:
+            commit.may_be_written = written_before
+            return False
+        self._end = Offset(self._end + len(records))
+        self.confirmed_at = sent_at
+        return True
 
 
 async def append_once(
     view: JournalView,
     records: list[KeyedRecord],
     expected: Offset,
-) -> bool | None:
-    """Try to append at the end `expected`, the same at each try.
+) -> Place:
+    """Try to append at the end `expected`; tell what is known of that place.
 
-    Returns
-    -------
-    True if the records are in the store at that place, False if somebody
-    else's are, None if that isn't known yet: send the same records again.
+    After `FREE` and `UNKNOWN` the append is to be tried again at that end,
+    after `UNKNOWN` with the same records.
     """
     async with view.lock:
         return await _append_locked(view, records, expected)
@@ -229,32 +275,32 @@
     view: JournalView,
     records: list[KeyedRecord],
     expected: Offset,
-) -> bool | None:
+) -> Place:
     outcome = await view.store.append(view.topic, records, expected)
     if isinstance(outcome, Appended):
         view.apply(records, outcome.end)
-        return True
+        return Place.OURS
     if isinstance(outcome, (EndMoved, Uncertain)):
         return await _look_whose(view, records, expected)
     _log.info('append not taken', reason=outcome.reason, at=expected)
-    return None
+    return Place.FREE
 
 
 async def _look_whose(
     view: JournalView,
     records: list[KeyedRecord],
     expected: Offset,
-) -> bool | None:
+) -> Place:
     page = await view.store.read(view.topic, expected)
     if isinstance(page, Trimmed):
-        return False
+        return Place.THEIRS
     if isinstance(page, Unavailable) or not page.records:
-        return None
+        return Place.UNKNOWN
     found = page.records[: len(records)]
     end = Offset(expected + len(page.records))
     if view.end is None or end > view.end:
         view.apply(page.records, end)
-    return found == records
+    return Place.OURS if found == records else Place.THEIRS
 
 
 async def take_over(
@@ -290,12 +336,11 @@
     record = KeyedRecord(OWNER_KEY, encode(owner))
     assert view.end is not None
     expected = view.end
-    decided = None
-    while decided is None:
-        decided = await append_once(view, [record], expected)
-        if decided is None:
-            await asyncio.sleep(_RETRY_PAUSE)
-    if not decided:
+    place = await append_once(view, [record], expected)
+    while place not in _DECIDED:
+        await asyncio.sleep(_RETRY_PAUSE)
+        place = await append_once(view, [record], expected)
+    if place is Place.THEIRS:
         raise TakeOverError('another process wrote first')
     return JournalWriter(view, owner, clock, Offset(expected + 1))
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -37,8 +37,13 @@
 from orchidrail.workers.port import WorkerCalls
 
 _log = structlog.get_logger()
-#: Silence of the journal after which new jobs are refused at once.
-_ACCEPT_WITHIN: Seconds = 0.7
+#: Wait for the journal on behalf of a caller that names no patience.
+_PATIENCE: Seconds = 0.7
+#: Part of a caller's patience in which the refusal gets back to it.
+_ANSWER_TRAVELS: Seconds = 0.1
+#: Bytes that may wait for a journal that is silent; beyond, jobs are refused
+#: at once. It is one append.
+_MOST_WAITING = 1_000_000
 _RESOLVE_EVERY: Seconds = 1.0
 
 
@@ -134,21 +139,18 @@
         """Stop deciding: somebody else owns the shard."""
         self.writer.fenced.set()
 
-    def accepting(self) -> bool:
-        """Whether a job that is sent now can be accepted soon."""
-        return (
-            not self.writer.fenced.is_set()
-            and self.writer.unconfirmed_for() < _ACCEPT_WITHIN
-        )
-
     async def submit(
         self,
         job_id: JobId,
         queue: QueueSettings,
         spec: JobSpec,
+        patience: Seconds = _PATIENCE,
     ) -> bool | None:
         """Accept a job.
 
+        While the journal is silent the job waits to be written for as long as
+        its caller does, so that it is accepted at the journal's return.
+
         Returns
         -------
         True once it is in the journal, False if it certainly is not and
@@ -156,7 +158,8 @@
         """
         if self.knows(job_id):
             return await self._wait_known(job_id)
-        if not self.accepting():
+        full = self.writer.waiting_bytes > _MOST_WAITING
+        if full or self.writer.fenced.is_set():
             _log.info(
                 'job refused',
                 job=job_id,
@@ -175,7 +178,8 @@
         # The caller may leave before the answer: this must happen all the same.
         commit.then(lambda committed: self._accept(job, committed))
         waiting = asyncio.ensure_future(commit.wait())
-        done, _ = await asyncio.wait((waiting,), timeout=_ACCEPT_WITHIN)
+        held_for = max(0, patience - _ANSWER_TRAVELS)
+        done, _ = await asyncio.wait((waiting,), timeout=held_for)
         if not done and self._withdraw(job, commit):
             waiting.cancel()
             return False
@@ -195,7 +199,13 @@
         self.state.note_change(job)
         self.runs.forget_job(job)
         self.writer.withdraw(job_key(job.job_id), progress_key(job.job_id))
-        _log.info('job withdrawn', job=job.job_id, queue=job.queue.name)
+        _log.info(
+            'job withdrawn',
+            job=job.job_id,
+            queue=job.queue.name,
+            unconfirmed=round(self.writer.unconfirmed_for(), 3),
+            trouble=self.writer.trouble,
+        )
         return True
 
     def _accept(self, job: Job, committed: bool) -> None:
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -98,7 +98,8 @@
     def test_a_job_that_was_not_sent_is_withdrawn(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             self.store.fault = StoreFault.REFUSES
-            first = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
+            patient = owner.submit(_JOB, _QUEUE, _SPEC, 3)
+            first = asyncio.create_task(patient)
             await asyncio.sleep(0.1)
             other = JobId('f' * 16)
             second = asyncio.create_task(owner.submit(other, _QUEUE, _SPEC))
@@ -111,6 +112,31 @@
 
         self.play(scene)
 
+    def test_a_job_that_the_store_refused_is_withdrawn(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.REFUSES
+            submitting = owner.submit(_JOB, _QUEUE, _SPEC, 0.4)
+            self.assertIs(False, await submitting)
+            self.store.fault = None
+            await asyncio.sleep(0.3)
+            following = await self.take(1)
+            self.assertIsNone(following.phase(_JOB))
+
+        self.play(scene)
+
+    def test_a_job_that_may_be_written_is_not_denied(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.SWALLOWS
+            submitting = asyncio.create_task(
+                owner.submit(_JOB, _QUEUE, _SPEC, 0.3)
+            )
+            await asyncio.sleep(0.5)
+            self.assertFalse(submitting.done())
+            self.store.fault = None
+            self.assertTrue(await submitting)
+
+        self.play(scene)
+
     def test_a_job_that_a_next_owner_lacks_was_not_taken(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             self.store.fault = StoreFault.REFUSES
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -221,5 +221,11 @@
 
 
 def _least_certain(answers: list[RawAnswer]) -> RawAnswer:
-    """Return the answer of a call that may have got through by some way."""
-    return max(answers, key=lambda answer: (answer.reached, answer.status))
+    """Return the answer of a call that may have got through by some way.
+
+    Silence by one way is less certain than a refusal by another.
+    """
+    return max(
+        answers,
+        key=lambda answer: (answer.reached, not answer.status),
+    )
--- a/orchidrail/store/tests/test_relay.py
+++ b/orchidrail/store/tests/test_relay.py
@@ -160,6 +160,11 @@
         self.now += 1
         self.assertTrue(self.call().reached)
 
+    def test_a_refusal_by_a_peer_does_not_make_a_silence_certain(self) -> None:
+        self.direct = RawAnswer(0, reached=True)
+        self.relayed = RawAnswer(_BUSY)
+        self.assertEqual(0, self.call().status)
+
     def test_an_error_of_the_call_itself_is_passed_on(self) -> None:
         self.direct = RawAnswer(412)
         self.assertEqual(412, self.call().status)
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -462,11 +462,15 @@
 
 
 class SubmitWork(Message, frozen=True):
-    """Hand a job to the shard's owner; both records are in MessagePack."""
+    """Hand a job to the shard's owner; both records are in MessagePack.
+
+    `patience` is how many seconds its caller waits for the answer.
+    """
 
     job_id: JobId
     queue: bytes
     spec: bytes
+    patience: float = 0
 
 
 class QueryWork(Message, frozen=True):
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -364,6 +364,7 @@
   jobId @0 :Text;
   queue @1 :Data;
   spec @2 :Data;
+  patience @3 :Float64;
 }
 
 struct QueryWork {
