--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -25,7 +25,7 @@
 READ_EVERY: Seconds = 0.5
 #: Silence after which the owner counts as dead; a paused process is far
 #: longer silent, a busy one shorter.
-_SILENT_FOR: Seconds = 0.6
+_SILENT_FOR: Seconds = 0.45
 #: Denials in a row after which a reachable machine has no owner.
 _DENIALS = 3
 #: Silence after which the journal is watched for signs of the owner.
@@ -163,13 +163,20 @@
         The best placed of each zone does: more would only read the same
         bytes, which have a price.
         """
-        mine = self._place(self._table.me, 0)
-        owner = self._table.claim.name
-        return not any(
-            self._place(member, 0) < mine
-            for member in self._table.heard(_STANDBY_HEARD_FOR)
-            if member.zone == self._table.me.zone and member.name != owner
-        )
+        return self._standby_by_zone()[self._table.me.zone] is self._table.me
+
+    def _standby_by_zone(self) -> dict[str, MemberInfo]:
+        """Return the best placed process of each zone, without the owner."""
+        heard = self._table.heard(_STANDBY_HEARD_FOR)
+        standby_by_zone: dict[str, MemberInfo] = {}
+        for member in (self._table.me, *heard):
+            if member.name == self._table.claim.name:
+                continue
+            best = standby_by_zone.get(member.zone, member)
+            if self._place(member, 0) <= self._place(best, 0):
+                standby_by_zone[member.zone] = member
+        standby_by_zone.setdefault(self._table.me.zone, self._table.me)
+        return standby_by_zone
 
     def _standbys_failed(self) -> bool:
         return self._table.owner_silent_for() > _STANDBYS_FAILED_AFTER
@@ -285,17 +292,22 @@
             await self.hand_over(strong[:1])
 
     def _turn(self) -> int:
-        """Return how many candidates go before this process."""
+        """Return how many candidates go before this process.
+
+        Those that follow the journal are the first to notice, and go first.
+        """
         claim = self._table.claim
         if claim.name == self._table.me.name:
             return 0
         mine = self._place(self._table.me, claim.epoch)
+        standbys = list(self._standby_by_zone().values())
         before = sum(
             self._place(member, claim.epoch) < mine
-            for member in self._table.heard()
-            if member.name != claim.name
+            for member in standbys
+            if member is not self._table.me
         )
-        return min(before, _MOST_TURNS)
+        behind = 0 if self._table.me in standbys else len(standbys)
+        return min(max(before, behind), _MOST_TURNS)
 
     def _place(self, member: MemberInfo, salt: int) -> tuple[float, int]:
         """Return a candidate's place, least first: by strength, then hash."""
--- a/orchidrail/instance/tests/test_ownership.py
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -235,6 +235,23 @@
 
         self.play(scene)
 
+    def test_those_that_follow_the_journal_take_over_first(self) -> None:
+        async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
+            await _until(lambda: len(self.owners(by_name)) == 1)
+            owner = self.owners(by_name)[0]
+            await asyncio.sleep(0.3)
+            others = [
+                process.ownership
+                for name, process in by_name.items()
+                if name != owner
+            ]
+            turn_by_following = {
+                other._stands_by(): other._turn() for other in others
+            }
+            self.assertEqual({True: 0, False: 1}, turn_by_following)
+
+        self.play(scene)
+
     def test_a_peer_that_is_asked_takes_over(self) -> None:
         async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
             await _until(lambda: bool(self.owners(by_name)))
