Call no owner lonely before its peers could answer

An owner that ended by letting go was logged as one that had failed.

Change: an owner counts as lonely only 0.8 s after its take-over. Test: an owner whose only peer has not answered yet goes on owning; it failed first.

--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -97,6 +97,7 @@
         #: before a read has succeeded.
         self._still_since: Seconds = math.inf
         self._rests_until: Seconds = -math.inf
+        self._owns_since: Seconds = -math.inf
         #: Whether a peer was heard since this process let go last.
         self._met_since = True
         self._stronger_since: Seconds = math.inf
@@ -244,6 +245,7 @@
         me = self._table.me
         self._table.learn_claim(OwnerClaim(epoch, me.name, me.address))
         self.owner = owner
+        self._owns_since = self._clock()
         assert self.pinger is not None
         self.pinger.ping_all()
         lanes = asyncio.create_task(self._watch_peers(owner))
@@ -266,6 +268,9 @@
             await asyncio.sleep(_JUDGE_EVERY)
 
     def _let_go_if_lonely(self, owner: ShardOwner) -> None:
+        if self._clock() - self._owns_since < _LONELY_AFTER:
+            # One that has just started has not been answered yet.
+            return
         if self._table.heard(_LONELY_AFTER):
             self._met_since = True
             return
--- a/orchidrail/instance/tests/test_ownership.py
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -202,6 +202,21 @@
 
         self.play(scene)
 
+    def test_an_owner_that_has_just_started_is_not_lonely(self) -> None:
+        async def scene() -> None:
+            alone = _Process('a', MemoryStore(), {})
+            alone.table.learn_member(make_member('b'))
+            alone.start()
+            await _until(lambda: alone.ownership.owner is not None)
+            owner = alone.ownership.owner
+            assert owner is not None
+            self.assertEqual(1, owner.writer.owner.epoch)
+            await asyncio.sleep(0.4)
+            self.assertIs(owner, alone.ownership.owner)
+            alone.kill()
+
+        self.run_async(scene())
+
     def test_a_stronger_machine_is_given_the_shard(self) -> None:
         async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
             await _until(lambda: bool(self.owners(by_name)))
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -130,9 +130,9 @@
                 [*tasks, fenced],
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            failed = [task for task in tasks if task in done]
-            for task in failed:
-                _log.error('owner failed', exc_info=task.exception())
+            failures = [task.exception() for task in tasks if task in done]
+            for failure in filter(None, failures):
+                _log.error('owner failed', exc_info=failure)
         _log.info('owner ends', epoch=self.writer.owner.epoch)
 
     def resign(self) -> None:
