--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -19,8 +19,6 @@
 _TELLING_SHARE = 0.2
 #: A run that has outlasted its estimate is taken to end after this long.
 _OVERDUE_ENDS_IN: Seconds = 0.5
-#: A run that was told to stop ends within this time.
-_STOP_ENDS_IN: Seconds = 0.4
 _WHOLE = 100
 
 
@@ -76,8 +74,6 @@
 
 def time_left(run: PlacedRun, now: Seconds) -> Seconds:
     """Return after how long a run is expected to end."""
-    if run.stopping:
-        return _STOP_ENDS_IN
     if run.task is None or run.task.step.spec.lasting:
         return math.inf
     began = run.confirmed_at if run.confirmed_at < now else run.placed_at
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -14,8 +14,7 @@
 from orchidrail.shard.earmarks import choose_earmarks, needs_earmarks
 from orchidrail.shard.headroom import Headroom
 from orchidrail.shard.placing import Placement, choose_workers, suits
-from orchidrail.shard.preemption import choose_preemption
-from orchidrail.shard.ranking import Rank, due_at, has_time, rank_step
+from orchidrail.shard.ranking import Rank, has_time, rank_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.types import JobId, Seconds, WorkerId
@@ -48,8 +47,6 @@
 #: Silence of the journal after which nothing is placed: a start waits for it,
 #: and tickets run out meanwhile. It answers in 8 ms, in 0.3 s where it is slow.
 _JOURNAL_SILENT: Seconds = 0.7
-#: A step has room made for it again after this long: a stop takes 0.4 s.
-_PREEMPTS_EVERY: Seconds = 1.0
 _MILLIS = 1000
 
 
@@ -169,41 +166,10 @@
         if tasks:
             kept = self._place_step(rank, step, tasks, usable, this_pass.now)
             this_pass.earmark(kept)
-            if kept:
-                self._make_room(step, usable, this_pass)
             reason = _reason(step, usable)
         if step.startable():
             this_pass.reason_by_job[step.job.job_id] = reason
 
-    def _make_room(
-        self,
-        step: StepState,
-        usable: list[WorkerBooks],
-        this_pass: _Pass,
-    ) -> None:
-        """Stop what can wait if the step would start too late otherwise."""
-        now, wall = this_pass.now, this_pass.wall
-        if now - step.preempted_at < _PREEMPTS_EVERY or has_time(step, wall):
-            return
-        if wall > due_at(step.job, step.round_number):
-            return
-        if step.job.queue.advice is not None:
-            known = step.permits.good_by_worker
-            usable = [books for books in usable if known.get(books.worker)]
-        preemption = choose_preemption(step, usable, now, wall)
-        if preemption is None:
-            return
-        step.preempted_at = now
-        books, victims = preemption
-        _log.info(
-            'runs preempted',
-            step=step.key,
-            worker=books.worker,
-            tasks=[run.key.task for run in victims],
-        )
-        for run in victims:
-            self._runs.stop(books, run)
-
     def _leave_headroom(
         self,
         step: StepState,
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from collections.abc import Iterator
 
 from orchidrail.types import JobId, RunNumber, Seconds, TaskKey, WorkerId
@@ -101,8 +100,6 @@
         self.permits = Permits()
         #: Workers on which its tasks failed; others are tried first.
         self.failed_on: set[WorkerId] = set()
-        #: When room was last made for it by stopping others.
-        self.preempted_at: Seconds = -math.inf
 
     @property
     def done(self) -> bool:
