Wait for answers that are coming; try only writes beside one another

Reads that took longer than 0.12 s were also made a second time through a peer, over the same link.

Change: a call is given up after silence, not while its answer comes (4 s at the most); only writes are tried by two ways beside one another; a relayed read may take 1.5 s longer.

--- a/orchidrail/instance/store_relays.py
+++ b/orchidrail/instance/store_relays.py
@@ -16,6 +16,8 @@
 
 #: Time that a relayed call may take beyond its own patience.
 RELAY_SLACK: Seconds = 0.1
+#: The same for a read, whose answer may be long and the link slow.
+_READ_SLACK: Seconds = 1.5
 #: For how long a peer that could not help is passed over: what it tells of
 #: itself may be 1.5 s old.
 _PASS_OVER_FOR: Seconds = 1.5
@@ -70,6 +72,7 @@
         call: RawCall,
     ) -> RawAnswer:
         patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
+        slack = _READ_SLACK if call.method == 'GET' else RELAY_SLACK
         outcome = await self._transport.call(
             peer.address,
             RelayCall(
@@ -79,7 +82,7 @@
                 timeout=patience,
                 waits=call.waits,
             ),
-            patience + RELAY_SLACK,
+            patience + slack,
         )
         if not isinstance(outcome, Ok):
             return RawAnswer(0, outcome.err_value.value.encode())
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -14,6 +14,9 @@
 #: Connections to one address: a held one, and starts beside it.
 _PER_HOST = 6
 _CONNECT_TIMEOUT: Seconds = 0.5
+#: Time in which an answer that has begun must be there: the store lists 1 MB
+#: at once, which takes 1.6 s at 5 Mbit/s.
+_LONGEST_ANSWER: Seconds = 4.0
 #: Idle connections are kept longer than a worker is left alone.
 _KEEP_ALIVE: Seconds = 60
 _JSON = {'Content-Type': 'application/json'}
@@ -56,14 +59,19 @@
     ) -> RawAnswer:
         """Make one call; a connection that stays silent is given up.
 
+        An answer that is coming is waited for: a long one takes seconds on a
+        slow link.
+
         Returns
         -------
         The answer, with status 0 if there is none; `reached` is then False
         only if the call can't have got through.
         """
         timeout = aiohttp.ClientTimeout(
-            total=call.timeout,
+            total=call.timeout + _LONGEST_ANSWER,
+            connect=call.timeout,
             sock_connect=min(_CONNECT_TIMEOUT, call.timeout),
+            sock_read=call.timeout,
         )
         try:
             async with self._session.request(
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -164,7 +164,7 @@
                 'job refused',
                 job=job_id,
                 queue=queue.name,
-                unconfirmed=round(self.writer.unconfirmed_for(), 3),
+                waiting=self.writer.waiting_bytes,
                 trouble=self.writer.trouble,
             )
             return False
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -26,8 +26,8 @@
 _RELAYS_TRIED = 2
 #: Tries of one write, each beside the last, while no peer can help.
 _TRIES_IN_SILENCE = 4
-#: Silence of a way after which the next is tried beside it. The store answers
-#: in 8 ms; where it is slow (0.3 s) each call is made twice.
+#: Silence after which a write is tried the next way too. The store answers
+#: in 8 ms; where it is slow (0.3 s) each write is made twice.
 _BESIDE_AFTER: Seconds = 0.12
 #: A direct answer tells for this long that the store is reached; each process
 #: calls at least once in a second.
@@ -47,7 +47,7 @@
         The target is path and query.
     body : bytes
     timeout : float
-        Seconds after which the call is given up.
+        Seconds of silence after which the call is given up.
     waits : float
         Seconds of `timeout` for which the receiver may hold the answer.
     """
@@ -85,9 +85,9 @@
 class RelayedCaller:
     """Calls directly, and through a peer where that fails.
 
-    A way that gives no answer is not waited for: the next one is tried beside
-    it. Appends name the end that they expect, so one that arrives by two ways
-    counts once.
+    A write does not wait for a way that gives no answer: the next one is tried
+    beside it. Appends name the end that they expect, so one that arrives by two
+    ways counts once. Reads may be long, and go one way after the other.
 
     Parameters
     ----------
@@ -139,7 +139,7 @@
             pending.add(self._attempt(way, call))
             done, pending = await asyncio.wait(
                 pending,
-                timeout=_BESIDE_AFTER + call.waits,
+                timeout=None if call.method == 'GET' else _BESIDE_AFTER,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             answers.extend(task.result() for task in done)
--- a/orchidrail/store/tests/test_relay.py
+++ b/orchidrail/store/tests/test_relay.py
@@ -81,7 +81,7 @@
             return RawAnswer(0)
 
         async def scene() -> None:
-            answer = await asyncio.wait_for(caller(_CALL), 0.5)
+            answer = await asyncio.wait_for(caller(RawCall('POST', '/x')), 0.5)
             self.assertEqual(b'relayed', answer.body)
 
         caller = RelayedCaller(
