--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -10,13 +10,14 @@
 import xxhash
 
 from orchidrail.journal import JournalView, TakeOverError
-from orchidrail.journal.writer import current_owner, take_over
+from orchidrail.journal.writer import current_owner, read_owner, take_over
 from orchidrail.peers.pinger import Pinger
 from orchidrail.peers.table import OwnerClaim, PeerTable
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
 from orchidrail.types import Epoch, Seconds
 from orchidrail.wire.messages import PeerState
 from orchidrail.work.model import MemberInfo
+from orchidrail.work.records import OwnerRecord
 
 _log = structlog.get_logger()
 #: How often the owner's state is judged.
@@ -37,6 +38,9 @@
 #: speak to each other each 1.8 s or so, by chance. The standbys of other zones
 #: stand in for one that is gone.
 _STANDBY_HEARD_FOR: Seconds = 10.0
+#: A process that has just started has heard few of its zone's peers, and would
+#: take itself for the standby.
+_STANDS_BY_AFTER: Seconds = 2.0
 #: Silence of the owner after which the others follow the journal too.
 _STANDBYS_FAILED_AFTER: Seconds = 2.5
 #: Wait at the first start, in which the processes meet (they start within
@@ -141,16 +145,34 @@
         try:
             await asyncio.wait_for(self.hurry.wait(), _JUDGE_EVERY)
         except (TimeoutError, asyncio.TimeoutError):
+            if not self._table.claim.epoch and await self._meet_owner():
+                return
             if not self._read_is_due():
                 return
         await self._read()
 
+    async def _meet_owner(self) -> bool:
+        """Learn who owns without reading all of the journal."""
+        owner = await read_owner(self._view)
+        if owner is not None:
+            self._learn_owner(owner)
+        return owner is not None
+
+    def _learn_owner(self, owner: OwnerRecord) -> None:
+        self._table.learn_claim(
+            OwnerClaim(owner.epoch, owner.holder, owner.address)
+        )
+
     def _read_is_due(self) -> bool:
+        claim = self._table.claim
+        if not claim.epoch or claim.name == self._table.me.name:
+            return True
         if self._watching():
             return self._stands_by() or self._standbys_failed()
         if self._clock() - self._read_at < READ_EVERY:
             return False
-        return self._stands_by() or not self._table.claim.epoch
+        settled = self._clock() - self._started_at > _STANDS_BY_AFTER
+        return settled and self._stands_by()
 
     def _watching(self) -> bool:
         """Whether the owner may be gone."""
@@ -192,9 +214,7 @@
             self._still_since = self._read_at
         owner = current_owner(self._view)
         if owner is not None:
-            self._table.learn_claim(
-                OwnerClaim(owner.epoch, owner.holder, owner.address)
-            )
+            self._learn_owner(owner)
         return read
 
     def _owner_is_gone(self) -> bool:
--- a/orchidrail/instance/tests/test_ownership.py
+++ b/orchidrail/instance/tests/test_ownership.py
@@ -217,6 +217,25 @@
 
         self.run_async(scene())
 
+    def test_a_process_that_joins_reads_only_who_owns(self) -> None:
+        async def scene(
+            by_name: dict[str, _Process],
+            store: MemoryStore,
+        ) -> None:
+            await _until(lambda: len(self.owners(by_name)) == 1)
+            by_address = {
+                process.table.me.address: process
+                for process in by_name.values()
+            }
+            joining = _Process('d', store, by_address)
+            joining.start()
+            await _until(lambda: joining.table.claim.epoch == 1)
+            await asyncio.sleep(0.3)
+            self.assertIsNone(joining.ownership._view.end)
+            joining.kill()
+
+        self.play(scene)
+
     def test_a_stronger_machine_is_given_the_shard(self) -> None:
         async def scene(by_name: dict[str, _Process], _: MemoryStore) -> None:
             await _until(lambda: bool(self.owners(by_name)))
--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -15,6 +15,7 @@
     Place,
     append_once,
     current_owner,
+    read_owner,
     take_over,
 )
 from orchidrail.store import KeyedRecord, Topic
@@ -194,6 +195,21 @@
 
         self._run(flush())
 
+    def test_the_owner_can_be_read_alone(self) -> None:
+        async def read() -> None:
+            view = self._view()
+            self.assertIsNone(await read_owner(view))
+            writer = await self._take('a', 0)
+            writing = asyncio.create_task(writer.run())
+            await writer.put('x', b'1').wait()
+            writing.cancel()
+            owner = await read_owner(view)
+            assert owner is not None
+            self.assertEqual('a', owner.holder)
+            self.assertIsNone(view.end)
+
+        self._run(read())
+
     def test_the_owner_is_named_in_the_journal(self) -> None:
         async def name() -> None:
             await self._take('a', 0)
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -24,7 +24,13 @@
     Uncertain,
 )
 from orchidrail.types import Epoch, Offset, Seconds
-from orchidrail.work.records import OWNER_KEY, OwnerRecord, decode_owner, encode
+from orchidrail.work.records import (
+    BEFORE_OWNER_KEY,
+    OWNER_KEY,
+    OwnerRecord,
+    decode_owner,
+    encode,
+)
 
 if TYPE_CHECKING:
     from orchidrail.journal.follower import JournalView
@@ -345,6 +351,16 @@
     return JournalWriter(view, owner, clock, Offset(expected + 1))
 
 
+async def read_owner(view: JournalView) -> OwnerRecord | None:
+    """Read who owns, and nothing else; None if nobody does or can be told."""
+    page = await view.store.latest(view.topic, BEFORE_OWNER_KEY)
+    if isinstance(page, Unavailable):
+        return None
+    values = (one.value for one in page.records if one.key == OWNER_KEY)
+    kept = next(values, None)
+    return None if kept is None else decode_owner(kept)
+
+
 def current_owner(view: JournalView) -> OwnerRecord | None:
     """Return the owner named by what was read, if any."""
     kept = view.value_by_key.get(OWNER_KEY)
--- a/orchidrail/store/memory.py
+++ b/orchidrail/store/memory.py
@@ -106,7 +106,11 @@
             return Unavailable('down')
         kept = self.records_by_topic[topic]
         newest_by_key = {record.key: record for record in kept}
-        live = [record for record in newest_by_key.values() if record.value]
+        live = [
+            record
+            for key, record in sorted(newest_by_key.items())
+            if record.value and key > after
+        ]
         return LatestPage(live, '', Offset(len(kept)))
 
     def trim(self, topic: Topic, before: int) -> None:
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -18,8 +18,10 @@
 )
 from orchidrail.work.model import JobSpec, QueueSettings
 
-#: Key of the record that names the shard's owner.
-OWNER_KEY = 'owner'
+#: Key of the record that names the shard's owner. It sorts behind all others,
+#: so that it can be listed alone, after `BEFORE_OWNER_KEY`.
+OWNER_KEY = 'z-owner'
+BEFORE_OWNER_KEY = 'z'
 _JOB_PREFIX = 'j'
 _PROGRESS_PREFIX = 'p'
 _WORKER_PREFIX = 'w'
