Withdraw a job only if its record was taken back

Cause (read in the diff, no run showed it): a batch of more than 1 MB is sent in several appends; a job in a later one was answered as refused while the first was refused by the store, but its record stayed in the list that is sent. Change: the writer tells whether it took a value back, and only then is the job refused; the bytes that wait are counted down. A withdrawn job is not logged as accepted. Tests: what was sent can't be withdrawn, what was refused can.

--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -36,8 +36,8 @@
 _COME_BACK_AFTER: Seconds = 1
 #: How often a submission that the owner holds looks whether it still owns.
 _LOOK_EVERY: Seconds = 0.1
-#: Silence of the owner after which its answer is not waited for; others take
-#: over after 0.6 s.
+#: Silence of the owner after which its answer is not waited for: others take
+#: over after 0.45 s.
 _GIVEN_UP_AFTER: Seconds = 0.6
 #: Silence of the owner after which no job is sent to it: without an answer
 #: its caller could not be told that it has not run. It speaks each 0.1 s.
--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -195,6 +195,44 @@
 
         self._run(flush())
 
+    def test_only_what_was_not_sent_can_be_withdrawn(self) -> None:
+        async def withdraw() -> None:
+            writer = await self._take('a', 0)
+            writing = asyncio.create_task(writer.run())
+            self.store.fault = StoreFault.SWALLOWS
+            first = writer.put('x', b'1')
+            await asyncio.sleep(0.05)
+            second = writer.put('y', b'2')
+            self.assertTrue(first.may_be_written)
+            self.assertFalse(writer.withdraw('x'))
+            self.assertFalse(second.may_be_written)
+            self.assertTrue(writer.withdraw('y'))
+            self.assertEqual(0, writer.waiting_bytes)
+            self.store.fault = None
+            self.assertTrue(await second.wait())
+            self.assertIn('x', writer.view.value_by_key)
+            self.assertNotIn('y', writer.view.value_by_key)
+            writing.cancel()
+
+        self._run(withdraw())
+
+    def test_what_the_store_refused_can_be_withdrawn(self) -> None:
+        async def withdraw() -> None:
+            writer = await self._take('a', 0)
+            writing = asyncio.create_task(writer.run())
+            self.store.fault = StoreFault.REFUSES
+            commit = writer.put('x', b'1')
+            writer.put('y', b'2')
+            await asyncio.sleep(0.05)
+            self.assertTrue(writer.withdraw('x'))
+            self.store.fault = None
+            self.assertTrue(await commit.wait())
+            self.assertNotIn('x', writer.view.value_by_key)
+            self.assertIn('y', writer.view.value_by_key)
+            writing.cancel()
+
+        self._run(withdraw())
+
     def test_the_owner_can_be_read_alone(self) -> None:
         async def read() -> None:
             view = self._view()
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -155,17 +155,20 @@
             self._commit.decide(committed=False)
         return self._commit
 
-    def withdraw(self, *keys: str) -> None:
-        """Take back values that are certainly not in the store.
+    def withdraw(self, key: str) -> bool:
+        """Take a value back if it is certainly not in the store.
 
-        They are in the batch that is being filled, or in one that the store
-        has refused so far.
+        It is then in the batch that is being filled, or in an append that the
+        store has refused so far.
         """
-        for key in keys:
-            if self._value_by_key.pop(key, None) is None:
-                self._refused = [
-                    record for record in self._refused if record.key != key
-                ]
+        value = self._value_by_key.pop(key, None)
+        if value is not None:
+            self._bytes -= len(value)
+            return True
+        kept = [record for record in self._refused if record.key != key]
+        withdrawn = len(kept) < len(self._refused)
+        self._refused = kept
+        return withdrawn
 
     @property
     def waiting_bytes(self) -> int:
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -194,11 +194,13 @@
         """
         if job.ended or commit.may_be_written:
             return False
+        if not self.writer.withdraw(job_key(job.job_id)):
+            return False
+        self.writer.withdraw(progress_key(job.job_id))
         job.phase = JobPhase.CANCELLED
         self.state.job_by_id.pop(job.job_id, None)
         self.state.note_change(job)
         self.runs.forget_job(job)
-        self.writer.withdraw(job_key(job.job_id), progress_key(job.job_id))
         _log.info(
             'job withdrawn',
             job=job.job_id,
@@ -209,8 +211,8 @@
         return True
 
     def _accept(self, job: Job, committed: bool) -> None:
-        job.accepted = committed
-        if not committed:
+        job.accepted = committed and not job.ended
+        if not job.accepted:
             return
         _log.info(
             'job accepted',
