Let no task end in silence

Change: TaskSet holds such tasks, logs a failure with its reason and has it repaired: the start is taken for one without an answer, the session goes on after 0.5 s, a process that lost a part stops and is started anew.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 import uuid
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 
 import structlog
@@ -36,6 +36,7 @@
 from orchidrail.shard.owner import OwnerPorts
 from orchidrail.store import Topic
 from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
+from orchidrail.tasks import TaskSet
 from orchidrail.types import InstanceId, Seconds, WorkerId
 from orchidrail.wire.messages import (
     AdviceGiven,
@@ -149,8 +150,16 @@
             and not self.table.cut_off()
         )
 
-    async def run(self, stack: AsyncExitStack) -> None:
-        """Start all parts; the stack ends them."""
+    async def run(
+        self,
+        stack: AsyncExitStack,
+        on_failure: Callable[[], object],
+    ) -> None:
+        """Start all parts; the stack ends them.
+
+        Without one of them the process is of no use: `on_failure` is to end it,
+        so that it is started anew.
+        """
         stack.push_async_callback(self._caller.close)
         stack.push_async_callback(self._transport.close)
         server = MessageServer(self._service.handle, self._transport.traffic)
@@ -158,6 +167,8 @@
         await server.start(host, int(port))
         stack.push_async_callback(server.close)
         stack.callback(self._pinger.close)
+        parts = TaskSet('part of the process')
+        stack.callback(parts.close)
         for work in (
             self.config.run(),
             self._members.run(),
@@ -165,9 +176,7 @@
             self._pinger.ping_others(),
             self.ownership.run(),
         ):
-            task = asyncio.create_task(work)
-            task.add_done_callback(_log_failure)
-            stack.callback(task.cancel)
+            parts.spawn(work, on_failure)
 
     async def stop(self) -> None:
         """Hand the shard over before this process ends.
@@ -231,8 +240,3 @@
             return None
         tickets = dict(zip(given.workers, given.tickets, strict=True))
         return Advice(tickets, given.valid)
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.error('part failed', exc_info=task.exception())
--- a/orchidrail/instance/main.py
+++ b/orchidrail/instance/main.py
@@ -82,7 +82,7 @@
             _serve(ReadinessApi(daemon.ready).app, settings.readiness),
             _serve(metrics_app(daemon.metrics), settings.metrics),
         )
-        await daemon.run(stack)
+        await daemon.run(stack, stop.set)
         reloading = asyncio.create_task(_follow_settings(daemon, path, changed))
         stack.callback(reloading.cancel)
         _log.info('started', incarnation=daemon.me.incarnation)
--- a/orchidrail/peers/pinger.py
+++ b/orchidrail/peers/pinger.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from random import Random
 
 from result import Ok
 
 from orchidrail.peers.table import PeerTable
+from orchidrail.tasks import TaskSet
 from orchidrail.types import Seconds
 from orchidrail.wire.messages import PeerState
 from orchidrail.wire.transport import Transport
@@ -53,7 +54,7 @@
         self._transport = transport
         self._describe = describe
         self._random = random
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('ping')
         #: Answers one after another that nobody owns the shard there.
         self.owner_denials = 0
 
@@ -62,7 +63,7 @@
         while True:
             claim = self._table.claim
             if claim.address and claim.name != self._table.me.name:
-                self._spawn(self._ping_owner_once())
+                self._tasks.spawn(self._ping_owner_once())
             await asyncio.sleep(OWNER_EVERY)
 
     async def ping_others(self) -> None:
@@ -71,13 +72,13 @@
             peers = self._table.peers()
             count = min(len(peers), _OTHERS_AT_ONCE)
             for member in self._random.sample(peers, count):
-                self._spawn(self.ping(member))
+                self._tasks.spawn(self.ping(member))
             await asyncio.sleep(_OTHERS_EVERY)
 
     def ping_all(self) -> None:
         """Speak to every peer now."""
         for member in self._table.peers():
-            self._spawn(self.ping(member))
+            self._tasks.spawn(self.ping(member))
 
     async def ping(self, member: MemberInfo) -> None:
         """Speak to one peer."""
@@ -91,8 +92,7 @@
 
     def close(self) -> None:
         """Give up all calls in progress."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.close()
 
     async def _ping_owner_once(self) -> None:
         claim = self._table.claim
@@ -110,8 +110,3 @@
             self._table.hear(outcome.ok_value)
         elif self._clock() - began < _REFUSED_WITHIN:
             self.owner_denials += 1
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/orchidrail/shard/advice_desk.py
+++ b/orchidrail/shard/advice_desk.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from orchidrail.tasks import TaskSet
 from orchidrail.types import InstanceId, Seconds, WorkerId
 from orchidrail.workers.port import Advice
 
@@ -73,7 +74,7 @@
         self._lanes: list[InstanceId] = []
         self._busy: set[InstanceId] = set()
         self._rests_until_by_lane: dict[InstanceId, Seconds] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('call for advice')
 
     def use_lanes(self, lanes: list[InstanceId]) -> None:
         """Use these machines from now on."""
@@ -115,8 +116,7 @@
 
     def close(self) -> None:
         """Give up all calls in progress."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.close()
 
     def _deal(self) -> None:
         postponed: list[_Waiting] = []
@@ -129,9 +129,7 @@
                     break
                 continue
             self._busy.add(lane)
-            task = asyncio.create_task(self._call(lane, waiting))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.spawn(self._call(lane, waiting))
         for waiting in postponed:
             heapq.heappush(self._waiting, waiting)
 
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from functools import partial
 
 import msgspec
 import structlog
@@ -14,6 +15,7 @@
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
+from orchidrail.tasks import TaskSet
 from orchidrail.types import Seconds, WorkerId
 from orchidrail.work.records import worker_values
 from orchidrail.workers.lease import RunLease
@@ -31,6 +33,8 @@
 #: Silence of the store after which entries may have lapsed: they do after
 #: three heartbeats of 1.5 s.
 _LAPSES_AFTER: Seconds = 3.0
+#: Pause before a session that failed goes on.
+_LOOK_AGAIN_AFTER: Seconds = 0.5
 _decode_kept = msgspec.msgpack.Decoder(WorkerEntry).decode
 
 DecodeEntry = Callable[[str, bytes], Result[WorkerEntry, str]]
@@ -79,6 +83,7 @@
         self._may_renew = may_renew
         self._raw_by_worker: dict[WorkerId, bytes] = {}
         self._task_by_worker: dict[WorkerId, asyncio.Task[None]] = {}
+        self._sessions = TaskSet('session')
         self._missing_since: dict[WorkerId, Seconds] = {}
         self._read_at = state.clock()
         #: Until then a worker without an entry may still be given work.
@@ -176,11 +181,26 @@
             self._may_renew,
         )
         self._state.books_by_worker[entry.worker] = WorkerBooks(session)
-        task = asyncio.create_task(session.run())
-        self._task_by_worker[entry.worker] = task
+        self._keep_looking(session)
         self._state.keep_worker(entry)
         _log.info('worker listed', worker=entry.worker, zone=entry.zone)
 
+    def _keep_looking(self, session: WorkerSession) -> None:
+        """Run a session, anew if it fails: its worker must be looked at."""
+        again = partial(
+            asyncio.get_running_loop().call_later,
+            _LOOK_AGAIN_AFTER,
+            self._look_again,
+            session,
+        )
+        task = self._sessions.spawn(session.run(), again)
+        self._task_by_worker[session.worker] = task
+
+    def _look_again(self, session: WorkerSession) -> None:
+        books = self._state.books_by_worker.get(session.worker)
+        if books is not None and books.session is session:
+            self._keep_looking(session)
+
     def _sweep(self) -> None:
         """Give up what has surely ended: lapsed leases, workers gone."""
         now = self._state.clock()
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -17,6 +17,7 @@
 from orchidrail.shard.ranking import Rank, has_time, rank_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
+from orchidrail.tasks import TaskSet
 from orchidrail.types import JobId, Seconds, WorkerId
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import Size
@@ -108,7 +109,7 @@
         self._approvals = Approvals()
         self._headroom = Headroom()
         self._steps_by_job: dict[JobId, list[StepState]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('question')
 
     async def run(self) -> None:
         """Place whenever something has changed."""
@@ -125,8 +126,7 @@
 
     def close(self) -> None:
         """Give up all questions in progress."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.close()
 
     def place_all(self) -> None:
         """Place what has room now."""
@@ -360,9 +360,7 @@
         about: list[WorkerBooks],
     ) -> None:
         step.permits.asking += 1
-        task = asyncio.create_task(self._ask_about(rank, step, about))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._ask_about(rank, step, about))
 
     async def _ask_about(
         self,
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import structlog
 
@@ -14,6 +15,7 @@
 from orchidrail.shard.ranking import due_at
 from orchidrail.shard.standing import Standings
 from orchidrail.shard.state import ShardState
+from orchidrail.tasks import TaskSet
 from orchidrail.types import RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Job, StepState, Task
 from orchidrail.work.records import TaskPhase
@@ -25,7 +27,7 @@
     RunEnding,
     RunKey,
 )
-from orchidrail.workers.session import WorkerSession
+from orchidrail.workers.session import START_LIFE, WorkerSession
 
 _log = structlog.get_logger()
 _STOP_AGAIN: Seconds = 0.3
@@ -77,12 +79,11 @@
         self._standings = Standings()
         self._state = state
         self._fenced = on_fenced
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('order')
 
     def close(self) -> None:
         """Give up all orders in progress."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.close()
 
     def launch(self, step: StepState, chosen: list[Placement]) -> None:
         """Place runs and order their starts once the journal has them."""
@@ -92,7 +93,8 @@
         keys = [self._place(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
         for key, placement in zip(keys, chosen, strict=True):
-            self._spawn(self._start(commit, key, placement))
+            doubt = partial(self._doubt_start, key, placement.books)
+            self._tasks.spawn(self._start(commit, key, placement), doubt)
         _log.info(
             'placed',
             job=step.job.job_id,
@@ -126,7 +128,7 @@
         """Order a run's stop, again until its end is known."""
         if not run.stopping:
             run.stopping = True
-            self._spawn(self._stop(books, run))
+            self._tasks.spawn(self._stop(books, run))
 
     def on_listing(
         self,
@@ -208,10 +210,12 @@
         books.charge(placed, step.key)
         return key
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    def _doubt_start(self, key: RunKey, books: WorkerBooks) -> None:
+        """Take a start whose task failed for one without an answer."""
+        run = books.run_by_key.get(key)
+        if run is not None and run.start_deadline == math.inf:
+            now = self._state.clock()
+            run.start_deadline = books.session.lease.clock_at(now) + START_LIFE
 
     async def _start(
         self,
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -135,6 +135,23 @@
 
         self.play(scene)
 
+    def test_a_session_that_fails_goes_on(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            books = owner.state.books_by_worker[make_entry().worker]
+            looks: list[Seconds] = []
+
+            async def fail_once(wait: Seconds) -> None:
+                looks.append(wait)
+                if len(looks) == 1:
+                    raise ValueError('not understood')
+                await asyncio.sleep(0.05)
+
+            books.session._look_once = fail_once  # type: ignore[method-assign]
+            await asyncio.sleep(1)
+            self.assertGreater(len(looks), 2)
+
+        self.play(scene)
+
     def test_a_worker_whose_entry_is_gone_gets_no_new_work(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             owner._fleet._settled_at = 0
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -141,6 +141,21 @@
 
         self.play(scene)
 
+    def test_a_start_whose_task_fails_is_started_again(self) -> None:
+        async def scene(shard: _Shard) -> None:
+            async def fail(*_: object) -> None:
+                raise ValueError('not understood')
+
+            shard.worker.start = fail  # type: ignore[assignment,method-assign]
+            step = shard.add(make_job(StepSpec(1)))
+            shard.launch(step)
+            await asyncio.sleep(_SOON)
+            shard.worker.clock += 1
+            await shard.look()
+            self.assertEqual(step.tasks, step.startable())
+
+        self.play(scene)
+
     def test_a_refused_start_is_free_at_once(self) -> None:
         async def scene(shard: _Shard) -> None:
             shard.worker.start_result = OrderResult.LATE
--- a/orchidrail/store/relay.py
+++ b/orchidrail/store/relay.py
@@ -5,11 +5,12 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
 
 import structlog
 
+from orchidrail.tasks import TaskSet
 from orchidrail.types import Seconds
 
 _log = structlog.get_logger()
@@ -79,7 +80,7 @@
 _SHOWN = 80
 _NOT_SERVED = frozenset((0, _TOO_MANY, _UNAVAILABLE))
 #: Something that makes a call: directly, or through a named peer.
-Caller = Callable[[RawCall], Awaitable[RawAnswer]]
+Caller = Callable[[RawCall], Coroutine[Any, Any, RawAnswer]]
 
 
 class RelayedCaller:
@@ -120,7 +121,7 @@
         #: Whether the latest direct call got no answer at all.
         self._silent = False
         self._probe_at: Seconds = 0
-        self._attempts: set[asyncio.Task[RawAnswer]] = set()
+        self._attempts = TaskSet('store call')
         self.lost = False
 
     def direct_answers(self) -> bool:
@@ -136,7 +137,8 @@
         answers: list[RawAnswer] = []
         pending: set[asyncio.Task[RawAnswer]] = set()
         for way in self._ways(call):
-            pending.add(self._attempt(way, call))
+            # An attempt goes on even if another way is faster.
+            pending.add(self._attempts.spawn(way(call)))
             done, pending = await asyncio.wait(
                 pending,
                 timeout=None if call.method == 'GET' else _BESIDE_AFTER,
@@ -167,18 +169,11 @@
             return [self._call_relay, self._call_directly]
         return [self._call_directly, self._call_relay]
 
-    def _attempt(self, way: Caller, call: RawCall) -> asyncio.Task[RawAnswer]:
-        """Start an attempt, which goes on even if another way was faster."""
-        task = asyncio.ensure_future(way(call))
-        self._attempts.add(task)
-        task.add_done_callback(self._attempts.discard)
-        return task
-
     def _probe(self, call: RawCall) -> None:
         """Try the silent direct way beside a call that goes by a peer."""
         if self._clock() >= self._probe_at:
             self._probe_at = self._clock() + _PROBE_EVERY
-            self._attempt(self._call_directly, call)
+            self._attempts.spawn(self._call_directly(call))
 
     async def _call_directly(self, call: RawCall) -> RawAnswer:
         patience = min(call.timeout, DIRECT_TIMEOUT + call.waits)
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from orchidrail.tasks import TaskSet
 from orchidrail.types import Epoch, Seconds, WorkerId
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import (
@@ -115,7 +116,7 @@
         self._may_renew = may_renew
         #: When each order without an answer yet was sent.
         self._sent_at_by_key: dict[RunKey, Seconds] = {}
-        self._looks: set[asyncio.Task[None]] = set()
+        self._looks = TaskSet('look')
         self._heard_at: Seconds = 0
         self._failures = 0
         self._last_seen = 0
@@ -185,9 +186,7 @@
     def _look_soon(self) -> None:
         """Look beside the look that waits, to learn something at once."""
         if not self.over and not self._looks:
-            looking = asyncio.create_task(self._look_once(0))
-            self._looks.add(looking)
-            looking.add_done_callback(self._looks.discard)
+            self._looks.spawn(self._look_once(0))
 
     def _take_answer(self, answer: OrderAnswer) -> None:
         if answer.clock is not None:
