Renew leases for as long as the store answers nobody

Change: while peers of all zones are heard, none of which the store answers and none of which knows a newer owner, the owner goes on renewing: nobody can have taken over.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -197,6 +197,7 @@
             self._ask_advice,
             time.monotonic,
             time.time,
+            self.table.store_away,
             self.settings.bounds.longest_lease,
             self.settings.bounds.stop_takes,
             self.settings.bounds.status_kept,
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -138,6 +138,17 @@
             if known.store_answers and now - known.heard_at < HEARD_FOR
         ]
 
+    def store_away(self) -> bool:
+        """Whether the store answers nobody while this process owns.
+
+        Peers of all zones must be heard, and none may know of a newer owner.
+        """
+        zones = {known.member.zone for known in self._peer_by_name.values()}
+        heard = {member.zone for member in self.heard()}
+        if not heard or zones - {self.me.zone} - heard:
+            return False
+        return self.claim.name == self.me.name and not self.heard_with_store()
+
     def owner_silent_for(self) -> Seconds:
         """Return for how long the owner has not been heard."""
         return self._clock() - self.owner_heard_at
--- a/orchidrail/shard/authority.py
+++ b/orchidrail/shard/authority.py
@@ -3,7 +3,10 @@
 A start is in the journal before it is sent, so a new owner knows of all that
 may run. An owner that can't write goes on renewing leases for `renew_for`,
 then lets go; a new owner that can't reach a worker waits for that, and for the
-longest lease, before it gives up what runs there.
+longest lease, before it gives up what runs there. While the store answers none
+of the peers, and peers of all zones are heard, nobody can have taken over, and
+the owner goes on renewing: a new one speaks to all as it takes over, so within
+`LEAST_RENEWALS` the former hears of it from somebody, or hears nobody.
 """
 
 from __future__ import annotations
@@ -14,8 +17,8 @@
 #: What runs is kept alive for so long without the store: the longest cuts and
 #: outages of the site files last 9 s, a take-over after them 1 s more.
 _OUTLIVES: Seconds = 11.0
-#: Renewals go on for this long in any case, since an append may be slow.
-_LEAST: Seconds = 1.0
+#: Renewals go on for this long in any case; a peer counts as heard for 1.2 s.
+LEAST_RENEWALS: Seconds = 2.0
 
 
 def renew_for(longest_lease: Seconds) -> Seconds:
@@ -26,9 +29,9 @@
     Examples
     --------
     >>> renew_for(longest_lease=6), renew_for(longest_lease=10)
-    (5.0, 1.0)
+    (5.0, 2.0)
     """
-    return max(_LEAST, _OUTLIVES - longest_lease)
+    return max(LEAST_RENEWALS, _OUTLIVES - longest_lease)
 
 
 def doubt_until(taken_over_at: Seconds, longest_lease: Seconds) -> Seconds:
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -56,6 +56,8 @@
     ask: AskThrough
     clock: Callable[[], Seconds]
     wall_clock: Callable[[], Seconds]
+    #: Whether the store answers nobody, so that nobody can take over.
+    store_away: Callable[[], bool]
     longest_lease: Seconds
     stop_takes: Seconds
     status_kept: Seconds
@@ -281,9 +283,11 @@
         return job_key(job_id) in self.writer.view.value_by_key or None
 
     def _may_renew(self) -> bool:
+        if self.writer.fenced.is_set():
+            return False
         longest = renew_for(self._ports.longest_lease)
-        unconfirmed = self.writer.unconfirmed_for()
-        return unconfirmed < longest and not self.writer.fenced.is_set()
+        confirmed = self.writer.unconfirmed_for() < longest
+        return confirmed or self._ports.store_away()
 
     def _restore(self) -> None:
         for stored in read_jobs(self.writer.view.value_by_key):
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -41,6 +41,7 @@
         ask=_no_advice,
         clock=time.monotonic,
         wall_clock=time.time,
+        store_away=bool,
         longest_lease=6,
         stop_takes=0,
         status_kept=120,
@@ -152,6 +153,18 @@
 
         self.play(scene)
 
+    def test_leases_are_renewed_while_nobody_can_have_taken_over(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.store.fault = StoreFault.REFUSES
+            owner.writer.confirmed_at -= 6
+            self.assertFalse(owner._may_renew())
+            owner._ports = owner._ports._replace(store_away=lambda: True)
+            self.assertTrue(owner._may_renew())
+            owner.resign()
+            self.assertFalse(owner._may_renew())
+
+        self.play(scene)
+
     def test_a_job_is_accepted_once(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             outcomes = await asyncio.gather(
