Remove the suspicion of workers that leave an order unanswered

A worker that answers no look is lost after 1 s all the same, and an order's unknown outcome is looked up when its deadline is over.

--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -149,9 +149,9 @@
         """Whether new work may go to the worker."""
         session = self.session
         answers = session.reachable and not session.over
-        if not answers or session.suspect():
+        if not answers or not self.listed:
             return False
-        if self._unsized or self.stalled or not self.listed:
+        if self._unsized or self.stalled:
             return False
         return self.entry.state is WorkerState.READY and now >= self.rests_until
 
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -45,9 +45,6 @@
 #: Added where a time on the worker's clock is waited for.
 _CLOCK_SLACK: Seconds = 0.02
 _STOP_TIMEOUT: Seconds = 0.7
-#: A worker that leaves an order unanswered for longer gets no other: answers
-#: take 1 to 4 ms on the sites.
-_SUSPECT_AFTER: Seconds = 0.06
 
 
 class Observer(Protocol):
@@ -114,10 +111,7 @@
         self._observer = observer
         self._clock = clock
         self._may_renew = may_renew
-        #: When each order without an answer yet was sent.
-        self._sent_at_by_key: dict[RunKey, Seconds] = {}
         self._looks = TaskSet('look')
-        self._heard_at: Seconds = 0
         self._failures = 0
         self._last_seen = 0
         self._last_heard = 0
@@ -143,18 +137,12 @@
         deadline = self.lease.clock_at(self._clock()) + START_LIFE
         self.lease.promise(deadline)
         order = StartOrder(key, text, deadline, self.epoch, checkpoint, ticket)
-        self._sent_at_by_key[key] = self._clock()
-        loop = asyncio.get_running_loop()
-        doubting = loop.call_later(_SUSPECT_AFTER, self._look_soon)
-        try:
-            answer = await self._calls.start(self.entry, order, _START_TIMEOUT)
-        finally:
-            doubting.cancel()
-            self._sent_at_by_key.pop(key, None)
+        answer = await self._calls.start(self.entry, order, _START_TIMEOUT)
         self._take_answer(answer)
         if answer.result is OrderResult.UNKNOWN:
             # A look after the deadline tells whether the run is there.
             left = deadline - self.lease.clock_at(self._clock())
+            loop = asyncio.get_running_loop()
             loop.call_later(left + _CLOCK_SLACK, self._look_soon)
         return answer, deadline
 
@@ -169,13 +157,6 @@
         self._take_answer(answer)
         return answer
 
-    def suspect(self) -> bool:
-        """Whether an order went unanswered and nothing was heard since."""
-        oldest = next(iter(self._sent_at_by_key.values()), None)
-        if oldest is None or self._clock() - oldest < _SUSPECT_AFTER:
-            return False
-        return self._heard_at < oldest + _SUSPECT_AFTER
-
     def end_life(self) -> None:
         """Note that this life is over."""
         if not self.over:
@@ -190,8 +171,7 @@
 
     def _take_answer(self, answer: OrderAnswer) -> None:
         if answer.clock is not None:
-            self._heard_at = self._clock()
-            self.lease.observe(answer.clock, self._heard_at)
+            self.lease.observe(answer.clock, self._clock())
         if answer.result is OrderResult.OTHER_LIFE:
             self.end_life()
         elif answer.result is OrderResult.FENCED:
@@ -221,8 +201,7 @@
 
     async def _take_listing(self, listing: Listing, sent_at: Seconds) -> None:
         first = not self.lease.known
-        self._heard_at = self._clock()
-        self.lease.observe(listing.clock, self._heard_at)
+        self.lease.observe(listing.clock, self._clock())
         if first:
             self.lease.adopt(self._clock())
         if not self.reachable:
