Soak: end with its parent, refuse a network that is in use

Change: the kernel kills each process with the soak that started it; a run refuses a network where somebody answers.

--- a/soak/run.py
+++ b/soak/run.py
@@ -29,6 +29,7 @@
 _PER_ZONE = 2
 _WORKERS = 8
 _STORE_PORT = 9001
+_READY_PORT = 8167
 _WORKER_PORT, _WORKER_LINK_PORT = 9100, 9200
 _START_WITHIN = 15.0
 _PER_SECOND = 6.0
@@ -144,6 +145,7 @@
         return self._worker_host, _WORKER_PORT + number
 
     async def _open(self, stack: AsyncExitStack) -> None:
+        await self._refuse_a_network_in_use()
         self._store.put('keyed.op', 'config', json.dumps(_CONFIG).encode())
         host, port = self._store_at
         await serve(stack, self._store.serve, [listen(f'{host}:{port}')])
@@ -158,6 +160,21 @@
         for instance in self._instances:
             await instance.open(stack)
 
+    async def _refuse_a_network_in_use(self) -> None:
+        """Refuse it, since those of another run would serve our callers.
+
+        Raises
+        ------
+        RuntimeError
+            If somebody answers where a process is to be started.
+        """
+        for instance in self._instances:
+            host = instance.callers.partition(':')[0]
+            if await _listens(host):
+                raise RuntimeError(
+                    f'{host!r} is in use by another run, expected nobody there'
+                )
+
     async def _serve_worker(self, request: Request) -> Response:
         port = request.scope['server'][1]
         return await self._workers[port - _WORKER_PORT].serve(request)
@@ -173,9 +190,18 @@
                 await asyncio.sleep(0.1)
 
 
+async def _listens(host: str) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(host, _READY_PORT)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def _answers(host: str) -> bool:
     try:
-        reader, writer = await asyncio.open_connection(host, 8167)
+        reader, writer = await asyncio.open_connection(host, _READY_PORT)
     except OSError:
         return False
     writer.write(b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n')
--- a/soak/system.py
+++ b/soak/system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import os
 import pathlib
 import signal
@@ -11,6 +12,8 @@
 
 from soak.proxy import Proxy
 
+#: Linux: have this process killed when the one that started it ends.
+_PR_SET_PDEATHSIG = 1
 _CALLERS, _READY, _STORE = 8161, 8167, 9000
 _GRACE = 6
 _SETTINGS = """nodeName={name}
@@ -32,6 +35,11 @@
 """
 
 
+def _end_with_parent() -> None:
+    """Run in the child: a soak that is killed leaves no process behind."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Instance:
     """One process of the system, started again and again."""
 
@@ -92,6 +100,7 @@
                 'orchidrail.instance.main',
                 stdout=output,
                 stderr=output,
+                preexec_fn=_end_with_parent,
                 env={**os.environ, 'ORCHIDRAIL_SETTINGS': str(self._settings)},
             )
 
