--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -257,7 +257,7 @@
             self._refused = [] if commit.may_be_written else records
             await asyncio.sleep(_RETRY_PAUSE)
             records = records if commit.may_be_written else self._refused
-        self._refused = []
+            self._refused = []
         if place is Place.THEIRS:
             commit.may_be_written = written_before
             return False
--- a/orchidrail/store/memory.py
+++ b/orchidrail/store/memory.py
@@ -22,6 +22,9 @@
 )
 from orchidrail.types import Offset, Seconds
 
+#: When an append that is delayed is done, in seconds.
+_DONE_LATER = 0.005
+
 
 class StoreFault(Enum):
     """How the store fails its next calls."""
@@ -32,6 +35,8 @@
     LOSES_ANSWERS = 'losesAnswers'
     #: Appends are neither done nor answered.
     SWALLOWS = 'swallows'
+    #: Appends are not answered, and done later if they still can be.
+    DELAYS = 'delays'
 
 
 class MemoryStore:
@@ -70,14 +75,32 @@
             return NotAppended('down')
         if self.fault is StoreFault.SWALLOWS:
             return Uncertain('no answer')
+        if self.fault is StoreFault.DELAYS:
+            asyncio.get_running_loop().call_later(
+                _DONE_LATER,
+                self._append,
+                topic,
+                list(records),
+                expected_end,
+            )
+            return Uncertain('no answer yet')
+        outcome = self._append(topic, records, expected_end)
+        if self.fault is StoreFault.LOSES_ANSWERS:
+            return Uncertain('answer lost')
+        return outcome
+
+    def _append(
+        self,
+        topic: Topic,
+        records: list[KeyedRecord],
+        expected_end: Offset | None,
+    ) -> AppendOutcome:
         kept = self.records_by_topic[topic]
         end = Offset(len(kept))
         if expected_end not in {None, end}:
             return EndMoved(end)
         self.appends += 1
         kept.extend(records)
-        if self.fault is StoreFault.LOSES_ANSWERS:
-            return Uncertain('answer lost')
         return Appended(end, Offset(len(kept)))
 
     async def read(
