--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -3,26 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from collections import defaultdict
 
 import structlog
 
-from orchidrail.shard.advice_desk import AdviceDesk, Question
-from orchidrail.shard.approvals import Approvals
+from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.earmarks import choose_earmarks, needs_earmarks
 from orchidrail.shard.headroom import Headroom
 from orchidrail.shard.placing import Placement, choose_workers, suits
+from orchidrail.shard.questions import TICKET_MARGIN, Questions
 from orchidrail.shard.ranking import Rank, has_time, rank_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
-from orchidrail.tasks import TaskSet
 from orchidrail.types import JobId, Seconds, WorkerId
 from orchidrail.work.job import StepState, Task
-from orchidrail.work.model import Size
 from orchidrail.work.waits import WaitReason
-from orchidrail.workers.port import Advice
 
 _log = structlog.get_logger()
 #: Least time between two passes; they take at most half of all time, so that
@@ -30,20 +25,8 @@
 _PACE: Seconds = 0.004
 #: Passes come at least this often, for times that fall due.
 _LOOK_EVERY: Seconds = 0.1
-#: Most workers asked about in one call.
-_ASKED_AT_ONCE = 30
-#: Fewer workers in one call make it hardly shorter: what a call takes for
-#: itself is that of about 70 workers on the users' sites.
-_LEAST_PART = 12
-#: A step asks through one lane for each so many that are idle: each call has a
-#: cost of its own, and busy lanes would only be busier.
-_LANES_FOR_PART = 4
-#: A ticket must hold for this long to be used: the start must get there.
-_TICKET_MARGIN: Seconds = 0.15
 #: Steps that wait with room kept free for them, most urgent first.
 _EARMARKS = 2
-#: Pause after advice could not be had.
-_ADVICE_PAUSE: Seconds = 0.3
 _REPORT_EVERY: Seconds = 1.0
 #: Silence of the journal after which nothing is placed: a start waits for it,
 #: and tickets run out meanwhile. It answers in 8 ms, in 0.3 s where it is slow.
@@ -106,10 +89,9 @@
         self._state = state
         self._runs = runs
         self._desk = desk
-        self._approvals = Approvals()
+        self._questions = Questions(state, runs, desk)
         self._headroom = Headroom()
         self._steps_by_job: dict[JobId, list[StepState]] = {}
-        self._tasks = TaskSet('question')
 
     async def run(self) -> None:
         """Place whenever something has changed."""
@@ -126,7 +108,7 @@
 
     def close(self) -> None:
         """Give up all questions in progress."""
-        self._tasks.close()
+        self._questions.close()
 
     def place_all(self) -> None:
         """Place what has room now."""
@@ -291,30 +273,14 @@
         if len(chosen) == len(tasks):
             return set()
         if not step.permits.asking:
-            self._ask_for_more(rank, step, len(tasks) - len(chosen), usable)
+            self._questions.ask_for_more(
+                rank,
+                step,
+                len(tasks) - len(chosen),
+                usable,
+            )
         return _earmark(step, len(tasks) - len(chosen), good, now)
 
-    def _ask_for_more(
-        self,
-        rank: Rank,
-        step: StepState,
-        missing: int,
-        usable: list[WorkerBooks],
-    ) -> None:
-        """Ask about workers of which nothing is known, the emptiest first."""
-        known = step.permits.good_by_worker
-        unknown = [books for books in usable if books.worker not in known]
-        if not unknown:
-            return
-        unknown.sort(key=lambda books: -books.free.millicores)
-        copies = max(1, step.spec.charged.times_in(unknown[0].free))
-        useful = self._approvals.needed(step.job.queue.name, missing / copies)
-        parts = max(1, self._desk.idle_lanes // _LANES_FOR_PART)
-        most = _ASKED_AT_ONCE * parts
-        about = unknown[: min(most, max(_ASKED_AT_ONCE, useful))]
-        for part in _split(about, parts):
-            self._ask(rank, step, part)
-
     def _launch_or_renew(
         self,
         rank: Rank,
@@ -323,7 +289,7 @@
         now: Seconds,
     ) -> None:
         """Launch what has tickets; of a gang all or none."""
-        until = now + _TICKET_MARGIN
+        until = now + TICKET_MARGIN
         ready = [
             placement
             for placement in chosen
@@ -335,92 +301,7 @@
             self._runs.launch(step, ready)
         stale = [placement for placement in chosen if placement not in ready]
         if stale and not step.permits.asking:
-            self._renew(rank, step, stale)
-
-    def _renew(
-        self,
-        rank: Rank,
-        step: StepState,
-        chosen: list[Placement],
-    ) -> None:
-        """Keep the room found, and have the tickets for it renewed."""
-        kept_by_worker: dict[WorkerId, Size] = defaultdict(Size)
-        books_by_worker: dict[WorkerId, WorkerBooks] = {}
-        for _, books in chosen:
-            kept_by_worker[books.worker] += step.spec.charged
-            books_by_worker[books.worker] = books
-        for worker, size in kept_by_worker.items():
-            books_by_worker[worker].hold(step.key, size)
-        self._ask(rank, step, list(books_by_worker.values()))
-
-    def _ask(
-        self,
-        rank: Rank,
-        step: StepState,
-        about: list[WorkerBooks],
-    ) -> None:
-        step.permits.asking += 1
-        self._tasks.spawn(self._ask_about(rank, step, about))
-
-    async def _ask_about(
-        self,
-        rank: Rank,
-        step: StepState,
-        about: list[WorkerBooks],
-    ) -> None:
-        workers = [books.worker for books in about]
-        cost = step.job.queue.advice
-        assert cost is not None
-        duration = cost.duration(len(workers))
-        question = Question(step.key, workers, duration, rank)
-        try:
-            advice = await self._desk.ask(question)
-            if advice is None:
-                await asyncio.sleep(_ADVICE_PAUSE)
-            else:
-                self._learn(step, workers, advice)
-        finally:
-            step.permits.asking -= 1
-            self._place_held(step, about)
-            self._state.wanted.set()
-
-    def _learn(
-        self,
-        step: StepState,
-        workers: list[WorkerId],
-        advice: Advice,
-    ) -> None:
-        known = step.permits.good_by_worker
-        fresh = [worker for worker in workers if worker not in known]
-        good = sum(worker in advice.ticket_by_worker for worker in fresh)
-        self._approvals.note(step.job.queue.name, good, len(fresh))
-        until = self._state.clock() + advice.valid
-        step.permits.learn(workers, advice.ticket_by_worker, until)
-
-    def _place_held(self, step: StepState, about: list[WorkerBooks]) -> None:
-        """Place on room that was kept, before a pass gives it to others.
-
-        A wide gang would otherwise lose part of it each time, and its other
-        tickets would run out meanwhile.
-        """
-        held = [books for books in about if books.unhold(step.key)]
-        now = self._state.clock()
-        until = now + _TICKET_MARGIN
-        usable = [
-            books
-            for books in held
-            if books.open(now)
-            and step.permits.fresh(books.worker, until)
-            and step.permits.good_by_worker.get(books.worker)
-        ]
-        tasks = step.startable()
-        if not usable or not tasks:
-            return
-        if step.job.ended:
-            return
-        chosen = choose_workers(step, tasks, usable)
-        if chosen:
-            self._runs.launch(step, chosen)
+            self._questions.renew(rank, step, stale)
 
 
 def _earmark(
@@ -445,15 +326,6 @@
     return WaitReason.ROOM if good else WaitReason.WORKERS
 
 
-def _split(
-    about: list[WorkerBooks],
-    most_parts: int,
-) -> list[list[WorkerBooks]]:
-    """Deal workers out to several calls that are worth their while."""
-    parts = min(math.ceil(len(about) / _LEAST_PART), most_parts)
-    return [about[first::parts] for first in range(parts)]
-
-
 def _spare(step: StepState, usable: list[WorkerBooks]) -> list[WorkerBooks]:
     """Leave out the workers that failed the step, unless no other is good."""
     others = [books for books in usable if books.worker not in step.failed_on]
--- /dev/null
+++ b/orchidrail/shard/questions.py
@@ -0,0 +1,177 @@
+"""Questions which workers may run a step, and what their answers lead to."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import defaultdict
+
+from orchidrail.shard.advice_desk import AdviceDesk, Question
+from orchidrail.shard.approvals import Approvals
+from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.placing import Placement, choose_workers
+from orchidrail.shard.ranking import Rank
+from orchidrail.shard.runs import RunTracker
+from orchidrail.shard.state import ShardState
+from orchidrail.tasks import TaskSet
+from orchidrail.types import Seconds, WorkerId
+from orchidrail.work.job import StepState
+from orchidrail.work.model import Size
+from orchidrail.workers.port import Advice
+
+#: Most workers asked about in one call.
+_ASKED_AT_ONCE = 30
+#: Fewer workers in one call make it hardly shorter: what a call takes for
+#: itself is that of about 70 workers on the users' sites.
+_LEAST_PART = 12
+#: A step asks through one lane for each so many that are idle: each call has a
+#: cost of its own, and busy lanes would only be busier.
+_LANES_FOR_PART = 4
+#: Pause after advice could not be had.
+_ADVICE_PAUSE: Seconds = 0.3
+#: A ticket must hold for this long to be used: the start must get there.
+TICKET_MARGIN: Seconds = 0.15
+
+
+class Questions:
+    """Asks for the steps of one shard.
+
+    Parameters
+    ----------
+    state : ShardState
+    runs : RunTracker
+        Starts what room was kept for.
+    desk : AdviceDesk
+    """
+
+    def __init__(
+        self,
+        state: ShardState,
+        runs: RunTracker,
+        desk: AdviceDesk,
+    ) -> None:
+        """Ask nothing yet."""
+        self._state = state
+        self._runs = runs
+        self._desk = desk
+        self._approvals = Approvals()
+        self._tasks = TaskSet('question')
+
+    def close(self) -> None:
+        """Give up all questions in progress."""
+        self._tasks.close()
+
+    def ask_for_more(
+        self,
+        rank: Rank,
+        step: StepState,
+        missing: int,
+        usable: list[WorkerBooks],
+    ) -> None:
+        """Ask about workers of which nothing is known, the emptiest first."""
+        known = step.permits.good_by_worker
+        unknown = [books for books in usable if books.worker not in known]
+        if not unknown:
+            return
+        unknown.sort(key=lambda books: -books.free.millicores)
+        copies = max(1, step.spec.charged.times_in(unknown[0].free))
+        useful = self._approvals.needed(step.job.queue.name, missing / copies)
+        parts = max(1, self._desk.idle_lanes // _LANES_FOR_PART)
+        most = _ASKED_AT_ONCE * parts
+        about = unknown[: min(most, max(_ASKED_AT_ONCE, useful))]
+        for part in _split(about, parts):
+            self._ask(rank, step, part)
+
+    def renew(
+        self,
+        rank: Rank,
+        step: StepState,
+        chosen: list[Placement],
+    ) -> None:
+        """Keep the room found, and have the tickets for it renewed."""
+        kept_by_worker: dict[WorkerId, Size] = defaultdict(Size)
+        books_by_worker: dict[WorkerId, WorkerBooks] = {}
+        for _, books in chosen:
+            kept_by_worker[books.worker] += step.spec.charged
+            books_by_worker[books.worker] = books
+        for worker, size in kept_by_worker.items():
+            books_by_worker[worker].hold(step.key, size)
+        self._ask(rank, step, list(books_by_worker.values()))
+
+    def _ask(
+        self,
+        rank: Rank,
+        step: StepState,
+        about: list[WorkerBooks],
+    ) -> None:
+        step.permits.asking += 1
+        self._tasks.spawn(self._ask_about(rank, step, about))
+
+    async def _ask_about(
+        self,
+        rank: Rank,
+        step: StepState,
+        about: list[WorkerBooks],
+    ) -> None:
+        workers = [books.worker for books in about]
+        cost = step.job.queue.advice
+        assert cost is not None
+        duration = cost.duration(len(workers))
+        question = Question(step.key, workers, duration, rank)
+        try:
+            advice = await self._desk.ask(question)
+            if advice is None:
+                await asyncio.sleep(_ADVICE_PAUSE)
+            else:
+                self._learn(step, workers, advice)
+        finally:
+            step.permits.asking -= 1
+            self._place_held(step, about)
+            self._state.wanted.set()
+
+    def _learn(
+        self,
+        step: StepState,
+        workers: list[WorkerId],
+        advice: Advice,
+    ) -> None:
+        known = step.permits.good_by_worker
+        fresh = [worker for worker in workers if worker not in known]
+        good = sum(worker in advice.ticket_by_worker for worker in fresh)
+        self._approvals.note(step.job.queue.name, good, len(fresh))
+        until = self._state.clock() + advice.valid
+        step.permits.learn(workers, advice.ticket_by_worker, until)
+
+    def _place_held(self, step: StepState, about: list[WorkerBooks]) -> None:
+        """Place on room that was kept, before a pass gives it to others.
+
+        A wide gang would otherwise lose part of it each time, and its other
+        tickets would run out meanwhile.
+        """
+        held = [books for books in about if books.unhold(step.key)]
+        now = self._state.clock()
+        until = now + TICKET_MARGIN
+        usable = [
+            books
+            for books in held
+            if books.open(now)
+            and step.permits.fresh(books.worker, until)
+            and step.permits.good_by_worker.get(books.worker)
+        ]
+        tasks = step.startable()
+        if not usable or not tasks:
+            return
+        if step.job.ended:
+            return
+        chosen = choose_workers(step, tasks, usable)
+        if chosen:
+            self._runs.launch(step, chosen)
+
+
+def _split(
+    about: list[WorkerBooks],
+    most_parts: int,
+) -> list[list[WorkerBooks]]:
+    """Deal workers out to several calls that are worth their while."""
+    parts = min(math.ceil(len(about) / _LEAST_PART), most_parts)
+    return [about[first::parts] for first in range(parts)]
