--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -11,9 +11,8 @@
 from testtools.matchers import HasLength
 
 from orchidrail.journal import JournalView, JournalWriter, TakeOverError
+from orchidrail.journal.appending import Place, append_once
 from orchidrail.journal.writer import (
-    Place,
-    append_once,
     current_owner,
     read_owner,
     take_over,
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -10,18 +10,14 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import structlog
 
+from orchidrail.journal.appending import DECIDED, Place, append_once
 from orchidrail.store import (
-    Appended,
-    EndMoved,
     KeyedRecord,
-    Trimmed,
     Unavailable,
-    Uncertain,
 )
 from orchidrail.types import Epoch, Offset, Seconds
 from orchidrail.work.records import (
@@ -54,23 +50,6 @@
     """The journal was not taken over; the text says why."""
 
 
-class Place(Enum):
-    """Whose records are at the place that an append names."""
-
-    #: Those of the append.
-    OURS = 'ours'
-    #: Another's, for good: the append can't be carried out any more.
-    THEIRS = 'theirs'
-    #: Nobody's yet: the store has refused the append.
-    FREE = 'free'
-    #: Not known: the append may have been carried out, or may be yet.
-    UNKNOWN = 'unknown'
-
-
-#: What ends the tries of an append.
-_DECIDED = frozenset((Place.OURS, Place.THEIRS))
-
-
 class Commit:
     """The end of one batch, awaited by those whose records are in it."""
 
@@ -248,7 +227,7 @@
             commit.may_be_written = True
             sent_at = self._clock()
             place = await append_once(self.view, records, self._end)
-            if place in _DECIDED:
+            if place in DECIDED:
                 self.trouble = ''
                 break
             self.trouble = 'no append taken'
@@ -266,52 +245,6 @@
         return True
 
 
-async def append_once(
-    view: JournalView,
-    records: list[KeyedRecord],
-    expected: Offset,
-) -> Place:
-    """Try to append at the end `expected`; tell what is known of that place.
-
-    After `FREE` and `UNKNOWN` the append is to be tried again at that end,
-    after `UNKNOWN` with the same records.
-    """
-    async with view.lock:
-        return await _append_locked(view, records, expected)
-
-
-async def _append_locked(
-    view: JournalView,
-    records: list[KeyedRecord],
-    expected: Offset,
-) -> Place:
-    outcome = await view.store.append(view.topic, records, expected)
-    if isinstance(outcome, Appended):
-        view.apply(records, outcome.end)
-        return Place.OURS
-    if isinstance(outcome, (EndMoved, Uncertain)):
-        return await _look_whose(view, records, expected)
-    _log.info('append not taken', reason=outcome.reason, at=expected)
-    return Place.FREE
-
-
-async def _look_whose(
-    view: JournalView,
-    records: list[KeyedRecord],
-    expected: Offset,
-) -> Place:
-    page = await view.store.read(view.topic, expected)
-    if isinstance(page, Trimmed):
-        return Place.THEIRS
-    if isinstance(page, Unavailable) or not page.records:
-        return Place.UNKNOWN
-    found = page.records[: len(records)]
-    end = Offset(expected + len(page.records))
-    if view.end is None or end > view.end:
-        view.apply(page.records, end)
-    return Place.OURS if found == records else Place.THEIRS
-
-
 async def take_over(
     view: JournalView,
     me: MemberInfo,
@@ -346,7 +279,7 @@
     assert view.end is not None
     expected = view.end
     place = await append_once(view, [record], expected)
-    while place not in _DECIDED:
+    while place not in DECIDED:
         await asyncio.sleep(_RETRY_PAUSE)
         place = await append_once(view, [record], expected)
     if place is Place.THEIRS:
