Take a worker that drained and whose entry goes for gone; lease for 8 s at the most

Ruled out: advice and room (0.9 s of it).

Change: the entry of a worker that drains goes when it has left; if it was written less than 2 s before, it has not lapsed, and what ran there has died. Tests: the worker that left, failed first; entries that lapsed, or went while the store was away, tell nothing.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -33,6 +33,7 @@
     PlatformLog,
 )
 from orchidrail.platform.worker_calls import PlatformAdvice, PlatformWorkers
+from orchidrail.shard.authority import lease_for
 from orchidrail.shard.owner import OwnerPorts
 from orchidrail.store import Topic
 from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
@@ -198,7 +199,7 @@
             time.monotonic,
             time.time,
             self.table.store_away,
-            self.settings.bounds.longest_lease,
+            lease_for(self.settings.bounds.longest_lease),
             self.settings.bounds.stop_takes,
             self.settings.bounds.status_kept,
             self.metrics,
--- a/orchidrail/shard/authority.py
+++ b/orchidrail/shard/authority.py
@@ -14,6 +14,11 @@
 from orchidrail.types import Seconds
 from orchidrail.workers.lease import SLOWEST_CLOCK
 
+#: Leases are no longer than this, though the platform may allow more: a task
+#: that lasts is to run again within 10 s of its worker's loss, and the end of a
+#: lease is followed by a sweep (0.35 s), advice and a start (1 s). Cuts of 6 s
+#: are outlived: the last renewal is 0.8 s old at the most.
+_LONGEST_LEASE: Seconds = 8.0
 #: What runs is kept alive for so long without the store: the longest cuts and
 #: outages of the site files last 9 s, a take-over after them 1 s more.
 _OUTLIVES: Seconds = 11.0
@@ -21,6 +26,17 @@
 LEAST_RENEWALS: Seconds = 2.0
 
 
+def lease_for(longest_allowed: Seconds) -> Seconds:
+    """Return how long a lease lasts where the platform allows so much.
+
+    Examples
+    --------
+    >>> lease_for(longest_allowed=6), lease_for(longest_allowed=10)
+    (6, 8.0)
+    """
+    return min(longest_allowed, _LONGEST_LEASE)
+
+
 def renew_for(longest_lease: Seconds) -> Seconds:
     """Return for how long after its last append an owner renews leases.
 
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -33,6 +33,13 @@
 #: Silence of the store after which entries may have lapsed: they do after
 #: three heartbeats of 1.5 s.
 _LAPSES_AFTER: Seconds = 3.0
+#: An entry that goes so soon after it was written has not lapsed, which takes
+#: three heartbeats without a write (4.5 s); a heartbeat comes each 1.5 s and is
+#: read within 0.35 s.
+_FRESH_FOR: Seconds = 2.0
+#: Pause between two reads that may hide an outage of the store, in which
+#: entries lapse.
+_READ_GAP: Seconds = 1.0
 #: Pause before a session that failed goes on.
 _LOOK_AGAIN_AFTER: Seconds = 0.5
 _decode_kept = msgspec.msgpack.Decoder(WorkerEntry).decode
@@ -85,7 +92,10 @@
         self._task_by_worker: dict[WorkerId, asyncio.Task[None]] = {}
         self._sessions = TaskSet('session')
         self._missing_since: dict[WorkerId, Seconds] = {}
+        #: When each entry was last seen to be written.
+        self._written_at_by_worker: dict[WorkerId, Seconds] = {}
         self._read_at = state.clock()
+        self._gap_ended_at = state.clock()
         #: Until then a worker without an entry may still be given work.
         self._settled_at = state.clock() + _SETTLES_WITHIN
 
@@ -114,6 +124,8 @@
         now = self._state.clock()
         if now - self._read_at > _LAPSES_AFTER:
             self._settled_at = now + _SETTLES_WITHIN
+        if now - self._read_at > _READ_GAP:
+            self._gap_ended_at = now
         self._read_at = now
 
     def _cancel_all(self) -> None:
@@ -121,12 +133,13 @@
             task.cancel()
 
     def _take_entries(self) -> None:
+        now = self._state.clock()
         for key, raw in self._view.value_by_key.items():
             worker = WorkerId(key)
             if self._raw_by_worker.get(worker) != raw:
                 self._raw_by_worker[worker] = raw
+                self._written_at_by_worker[worker] = now
                 self._take_entry(worker, raw)
-        now = self._state.clock()
         for worker, books in self._state.books_by_worker.items():
             listed = worker in self._view.value_by_key
             if listed:
@@ -206,6 +219,9 @@
         now = self._state.clock()
         for worker, books in list(self._state.books_by_worker.items()):
             session = books.session
+            if self._has_left(worker, books):
+                _log.info('worker has left', worker=worker)
+                session.end_life()
             lapsed = not session.reachable and session.lease.ended(now)
             if lapsed and not session.over:
                 self._runs.give_up_worker(worker, 'lease ended')
@@ -220,6 +236,20 @@
         for worker in unmet - self._state.books_by_worker.keys():
             self._runs.give_up_worker(worker, 'never met')
 
+    def _has_left(self, worker: WorkerId, books: WorkerBooks) -> bool:
+        """Whether a worker that said so has left, with all that ran there.
+
+        Its entry goes at once then. One that lapsed tells nothing: the worker
+        may be cut off and run on.
+        """
+        since = self._missing_since.get(worker)
+        if since is None or books.entry.state is not WorkerState.DRAINING:
+            return False
+        if books.session.reachable or books.session.over:
+            return False
+        written = self._written_at_by_worker.get(worker, self._gap_ended_at)
+        return written > self._gap_ended_at and since - written < _FRESH_FOR
+
     def _gone(
         self,
         worker: WorkerId,
@@ -234,6 +264,7 @@
 
     def _forget(self, worker: WorkerId) -> None:
         self._missing_since.pop(worker, None)
+        self._written_at_by_worker.pop(worker, None)
         self._state.books_by_worker.pop(worker, None)
         self._state.drop_worker(worker)
         task = self._task_by_worker.pop(worker, None)
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -11,6 +11,7 @@
 
 from orchidrail.journal import JournalView
 from orchidrail.journal.writer import take_over
+from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.owner import ShardOwner
 from orchidrail.shard.tests.test_owner import make_ports
 from orchidrail.store import KeyedRecord, Topic
@@ -135,6 +136,57 @@
 
         self.play(scene)
 
+    async def _drain(self, owner: ShardOwner) -> WorkerBooks:
+        """Have the worker say that it leaves, and then answer no more."""
+        entry = make_entry()
+        draining = msgspec.structs.replace(entry, state=WorkerState.DRAINING)
+        record = KeyedRecord(entry.worker, encode(draining))
+        await self.store.append(_TOPIC, [record])
+        await asyncio.sleep(_READ)
+        workers = owner._ports.worker_calls
+        assert isinstance(workers, FakeWorker)
+        workers.hold_result = OrderResult.UNKNOWN
+        await asyncio.sleep(_READ)
+        books = owner.state.books_by_worker[entry.worker]
+        self.assertFalse(books.session.reachable)
+        return books
+
+    def test_a_worker_that_said_so_has_left_when_its_entry_goes(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            books = await self._drain(owner)
+            await self.list_worker(listed=False)
+            await asyncio.sleep(_READ)
+            self.assertTrue(books.session.over)
+            self.assertNotIn(books.worker, owner.state.books_by_worker)
+
+        self.play(scene)
+
+    def test_a_worker_whose_entry_lapsed_may_run_on_while_it_drains(
+        self,
+    ) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            books = await self._drain(owner)
+            written_at = owner._fleet._written_at_by_worker
+            owner._fleet._gap_ended_at -= 10
+            written_at[books.worker] -= 3
+            await self.list_worker(listed=False)
+            await asyncio.sleep(_READ)
+            self.assertFalse(books.session.over)
+
+        self.play(scene)
+
+    def test_entries_that_go_while_the_store_was_away_tell_nothing(
+        self,
+    ) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            books = await self._drain(owner)
+            owner._fleet._read_at -= 1.5
+            await self.list_worker(listed=False)
+            await asyncio.sleep(_READ)
+            self.assertFalse(books.session.over)
+
+        self.play(scene)
+
     def test_a_session_that_fails_goes_on(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             books = owner.state.books_by_worker[make_entry().worker]
