Keep no worker for a gang that its workers can never hold

A job of three small tasks, accepted at 29.9 s, was not placed until the end at 51 s, one of 19.2 s neither, with most of the room free. Ruled out: advice (nothing asked), headroom (no urgent work on that service).

Change: workers are kept for a gang only if all of it will fit on them. Test: failed first.

--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -42,7 +42,11 @@
     candidates: list[WorkerBooks],
     now: Seconds,
 ) -> set[WorkerId]:
-    """Choose the workers that will have room for `missing` tasks soonest."""
+    """Choose the workers that will have room for `missing` tasks soonest.
+
+    For a gang that these workers can never hold together none is kept: it
+    would keep them from others for good.
+    """
     size = step.spec.charged
     waits = [(time_to_room(books, size, now), books) for books in candidates]
     waits.sort(key=lambda pair: pair[0])
@@ -52,7 +56,7 @@
             break
         kept.add(books.worker)
         missing -= size.times_in(books.entry.capacity)
-    return kept
+    return set() if step.spec.gang and missing > 0 else kept
 
 
 def time_to_room(books: WorkerBooks, size: Size, now: Seconds) -> Seconds:
--- a/orchidrail/shard/tests/test_earmarks.py
+++ b/orchidrail/shard/tests/test_earmarks.py
@@ -45,6 +45,14 @@
         kept = choose_earmarks(step, 1, [long, short], now=11)
         self.assertEqual({'short'}, kept)
 
+    def test_a_gang_that_never_fits_keeps_no_worker(self) -> None:
+        only = make_books('only')
+        _place(only, StepSpec(1, Size(3000), estimate=9))
+        gang = make_step(StepSpec(2, Size(4000), gang=True))
+        self.assertEqual(set(), choose_earmarks(gang, 2, [only], now=11))
+        both = choose_earmarks(gang, 2, [only, make_books('other')], now=11)
+        self.assertEqual({'only', 'other'}, both)
+
     def test_room_comes_when_enough_has_ended(self) -> None:
         books = make_books('a')
         _place(books, StepSpec(1, Size(2000), estimate=2))
