Keep workers only while half of their service's room is in use

Change: while less than half of a service's cores or accelerators is in use, no worker is kept. Test: failed first.

--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -20,6 +20,23 @@
 #: A run that has outlasted its estimate is taken to end after this long.
 _OVERDUE_ENDS_IN: Seconds = 0.5
 _WHOLE = 100
+_HALVES = 2
+
+
+def crowded(workers: list[WorkerBooks]) -> bool:
+    """Whether at least half of all that the workers have is in use.
+
+    While there is more room than that, no work is to wait for a worker that is
+    kept for others.
+    """
+    whole, free = Size(), Size()
+    for books in workers:
+        whole += books.entry.capacity
+        free += books.free
+    return (
+        _HALVES * free.millicores <= whole.millicores
+        and _HALVES * free.accelerators <= whole.accelerators
+    )
 
 
 def needs_earmarks(spec: StepSpec, workers: list[WorkerBooks]) -> bool:
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -8,7 +8,11 @@
 
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
-from orchidrail.shard.earmarks import choose_earmarks, needs_earmarks
+from orchidrail.shard.earmarks import (
+    choose_earmarks,
+    crowded,
+    needs_earmarks,
+)
 from orchidrail.shard.headroom import Headroom
 from orchidrail.shard.placing import Placement, choose_workers, suits
 from orchidrail.shard.questions import TICKET_MARGIN, Questions
@@ -62,9 +66,17 @@
         ]
         return _spare(step, usable) if step.failed_on else usable
 
-    def earmark(self, workers: set[WorkerId]) -> None:
-        """Keep workers from the steps that come after."""
-        if workers and self._earmarks < _EARMARKS:
+    def earmark(self, step: StepState, workers: set[WorkerId]) -> None:
+        """Keep workers from the steps that come after, if room is scarce."""
+        if not workers or self._earmarks >= _EARMARKS:
+            return
+        service = step.job.queue.service
+        of_service = [
+            books
+            for books in self._open_books
+            if books.entry.service == service
+        ]
+        if crowded(of_service):
             self._earmarks += 1
             self._earmarked.update(workers)
 
@@ -147,7 +159,7 @@
         reason = WaitReason.HEADROOM
         if tasks:
             kept = self._place_step(rank, step, tasks, usable, this_pass.now)
-            this_pass.earmark(kept)
+            this_pass.earmark(step, kept)
             reason = _reason(step, usable)
         if step.startable():
             this_pass.reason_by_job[step.job.job_id] = reason
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -231,6 +231,23 @@
 
         self.play(scene)
 
+    def test_no_worker_is_kept_while_there_is_room(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            for number in range(3):
+                await shard.add_worker(f'w-{number}')
+            on_each = StepSpec(3, Size(30_000), most_per_worker=1)
+            shard.add(_make_job('a' * 16, on_each, 1, False))
+            await asyncio.sleep(_SOON)
+            large = _make_job('b' * 16, StepSpec(9, Size(60_000)), 1, False)
+            small = _make_job('c' * 16, StepSpec(1, Size(1_000)), 2, False)
+            shard.add(large)
+            shard.add(small)
+            await asyncio.sleep(_SOON)
+            phases = [job.steps(0)[0].tasks[0].phase for job in (large, small)]
+            self.assertEqual([TaskPhase.WAITING, TaskPhase.PLACED], phases)
+
+        self.play(scene)
+
     def test_a_job_tells_what_it_waited_for(self) -> None:
         async def scene(shard: _Scene) -> None:
             await shard.add_worker('w-1')
