Wake for the due times of timed rounds

Cause: rounds of timed jobs were looked at only after 0.1 s in which nothing at all had changed. Ruled out: want of room, and the clock: the rounds were not in the list of open steps. Change: a heap of due times; the pass waits no longer than the next one, and each pass takes what has fallen due. Test: test_a_round_starts_in_time_though_something_always_changes failed before.

--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import structlog
 
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.due_times import DueTimes
 from orchidrail.shard.earmarks import (
     choose_earmarks,
     crowded,
@@ -104,14 +106,17 @@
         self._questions = Questions(state, runs, desk)
         self._headroom = Headroom()
         self._steps_by_job: dict[JobId, list[StepState]] = {}
+        self._due_times = DueTimes()
 
     async def run(self) -> None:
         """Place whenever something has changed."""
         while True:
-            try:
-                await asyncio.wait_for(self._state.wanted.wait(), _LOOK_EVERY)
-            except (TimeoutError, asyncio.TimeoutError):
-                self._look_at_timed_jobs()
+            wait = min(
+                _LOOK_EVERY,
+                self._due_times.wait(self._state.wall_clock()),
+            )
+            with contextlib.suppress(TimeoutError, asyncio.TimeoutError):
+                await asyncio.wait_for(self._state.wanted.wait(), wait)
             self._state.wanted.clear()
             began = self._state.clock()
             self.place_all()
@@ -250,19 +255,17 @@
 
     def _refresh(self) -> None:
         wall = self._state.wall_clock()
+        self._state.changed_jobs.update(self._due_times.take_due(wall))
         for job_id in self._state.changed_jobs:
             job = self._state.job_by_id.get(job_id)
             if job is None:
                 self._steps_by_job.pop(job_id, None)
+                self._due_times.forget(job_id)
                 continue
             self._steps_by_job[job_id] = list(job.open_steps(wall))
+            self._due_times.note(job, wall)
         self._state.changed_jobs.clear()
 
-    def _look_at_timed_jobs(self) -> None:
-        for job in self._state.job_by_id.values():
-            if job.spec.repeats:
-                self._state.changed_jobs.add(job.job_id)
-
     def _place_step(
         self,
         rank: Rank,
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -16,6 +16,7 @@
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
+from orchidrail.shard.tests.test_due_times import make_timed_job
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.testing import AsyncTestCase
@@ -248,6 +249,26 @@
 
         self.play(scene)
 
+    def test_a_round_starts_in_time_though_something_always_changes(
+        self,
+    ) -> None:
+        async def keep_changing(shard: _Scene) -> None:
+            while True:
+                shard.state.wanted.set()
+                await asyncio.sleep(_SOON / 5)
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            timed = make_timed_job('a' * 16, time.time() + _SOON, 100)
+            shard.add(timed)
+            changing = asyncio.create_task(keep_changing(shard))
+            await asyncio.sleep(3 * _SOON)
+            changing.cancel()
+            task = timed.steps(0)[0].tasks[0]
+            self.assertIsNot(TaskPhase.WAITING, task.phase)
+
+        self.play(scene)
+
     def test_a_job_tells_what_it_waited_for(self) -> None:
         async def scene(shard: _Scene) -> None:
             await shard.add_worker('w-1')
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Iterator
 
 from orchidrail.types import JobId, RunNumber, Seconds, TaskKey, WorkerId
@@ -194,6 +195,25 @@
                 if all(steps[earlier].done for earlier in step.spec.after):
                     yield step
 
+    def next_due(self, now: Seconds) -> Seconds:
+        """Return when the first round after wall clock `now` is due.
+
+        Returns
+        -------
+        Seconds since 1970, infinite if no round is still to come.
+        """
+        spec = self.spec
+        if not spec.repeats:
+            return math.inf
+        if spec.due(0) > now:
+            return spec.due(0)
+        if spec.interval <= 0:
+            return math.inf
+        number = int((now - spec.first_at) // spec.interval)
+        while spec.due(number) <= now:
+            number += 1
+        return spec.due(number) if number < spec.rounds else math.inf
+
     def find_task(
         self,
         round_number: int,
