--- a/orchidrail/shard/advice_desk.py
+++ b/orchidrail/shard/advice_desk.py
@@ -2,7 +2,8 @@
 
 The service deals with one call at a time for each machine that calls. So each
 machine is a lane with at most one call in it, the rest wait here, most urgent
-first. Long calls keep out of some lanes, which stay quick for short ones.
+first. Long calls keep out of as many lanes as short ones used at their last
+peak, so that short ones find a lane at once.
 """
 
 from __future__ import annotations
@@ -10,11 +11,13 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import structlog
 
+from orchidrail.shard.fading_peak import FadingPeak
 from orchidrail.tasks import TaskSet
 from orchidrail.types import InstanceId, Seconds, WorkerId
 from orchidrail.workers.port import Advice
@@ -22,8 +25,8 @@
 _log = structlog.get_logger()
 #: Calls above this length keep out of the quick lanes.
 _LONG: Seconds = 0.15
-#: Share of the lanes that long calls may use.
-_LONG_SHARE = 0.6
+#: Most of the lanes that are ever kept from long calls, as a share.
+_MOST_KEPT = 0.4
 #: Time beyond the expected one after which a call is given up.
 _SLACK: Seconds = 1.0
 #: Factor on the expected time, since the service may be slow.
@@ -74,6 +77,8 @@
         self._lanes: list[InstanceId] = []
         self._busy: set[InstanceId] = set()
         self._rests_until_by_lane: dict[InstanceId, Seconds] = {}
+        self._short_calls = 0
+        self._short_peak = FadingPeak()
         self._tasks = TaskSet('call for advice')
 
     def use_lanes(self, lanes: list[InstanceId]) -> None:
@@ -118,6 +123,12 @@
         """Give up all calls in progress."""
         self._tasks.close()
 
+    def _kept_from_long(self) -> int:
+        """Return how many lanes long calls leave to short ones."""
+        count = len(self._lanes)
+        wanted = math.ceil(self._short_peak.at(self._clock()))
+        return max(min(count - 1, 1), min(wanted, int(count * _MOST_KEPT)))
+
     def _deal(self) -> None:
         postponed: list[_Waiting] = []
         while self._waiting:
@@ -138,7 +149,7 @@
         count = len(self._lanes)
         usable = self._lanes
         if duration > _LONG and count > 1:
-            usable = self._lanes[: max(1, int(count * _LONG_SHARE))]
+            usable = self._lanes[: count - self._kept_from_long()]
         elif count > 1:
             # Short calls leave the lanes of long ones to the last.
             usable = list(reversed(self._lanes))
@@ -151,6 +162,9 @@
     async def _call(self, lane: InstanceId, waiting: _Waiting) -> None:
         question = waiting.question
         advice = None
+        short = question.duration <= _LONG
+        self._short_calls += short
+        self._short_peak.note(self._short_calls, self._clock())
         try:
             advice = await self._ask(
                 lane,
@@ -160,6 +174,7 @@
             )
         finally:
             self._busy.discard(lane)
+            self._short_calls -= short
             if not waiting.answer.done():
                 waiting.answer.set_result(advice)
         if advice is None:
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -123,6 +123,7 @@
         """Start with all room free."""
         self.session = session
         self.entry: WorkerEntry = session.entry
+        self.worker: WorkerId = session.entry.worker
         self.free: Size = session.entry.capacity
         self.run_by_key: dict[RunKey, PlacedRun] = {}
         self.held_by_step: dict[str, Size] = {}
@@ -140,11 +141,6 @@
         #: leaves without having said so.
         self.listed = True
 
-    @property
-    def worker(self) -> WorkerId:
-        """The worker's id."""
-        return self.entry.worker
-
     def open(self, now: Seconds) -> bool:
         """Whether new work may go to the worker."""
         session = self.session
--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -29,28 +29,25 @@
     While there is more room than that, no work is to wait for a worker that is
     kept for others.
     """
-    whole, free = Size(), Size()
+    cores, accelerators = 0, 0
     for books in workers:
-        whole += books.entry.capacity
-        free += books.free
-    return (
-        _HALVES * free.millicores <= whole.millicores
-        and _HALVES * free.accelerators <= whole.accelerators
-    )
+        free, whole = books.free, books.entry.capacity
+        cores += whole.millicores - _HALVES * free.millicores
+        accelerators += whole.accelerators - _HALVES * free.accelerators
+    return cores >= 0 and accelerators >= 0
 
 
-def needs_earmarks(spec: StepSpec, workers: list[WorkerBooks]) -> bool:
+def needs_earmarks(spec: StepSpec, most_copies: int) -> bool:
     """Whether a step's tasks can't be fitted in one by one.
 
     A gang needs all of its room at once, a large task most of a worker.
+
+    Parameters
+    ----------
+    most_copies : int
+        Tasks of the step that the largest worker holds when it is idle.
     """
-    if spec.gang:
-        return True
-    most = max(
-        (spec.charged.times_in(books.entry.capacity) for books in workers),
-        default=0,
-    )
-    return 0 < most <= _LARGE_COPIES
+    return spec.gang or 0 < most_copies <= _LARGE_COPIES
 
 
 def choose_earmarks(
--- /dev/null
+++ b/orchidrail/shard/open_workers.py
@@ -0,0 +1,205 @@
+"""The workers that one pass may place on, found by the room that they have.
+
+A cell near its limit has hundreds of workers of which few have room for a
+large task, and many steps that wait. So a pass sorts the workers once, and a
+step looks only at those whose free processor time is enough.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from operator import attrgetter
+from typing import NamedTuple
+
+from orchidrail.shard.books import TaskRole, WorkerBooks, role_of
+from orchidrail.shard.placing import suits
+from orchidrail.types import ServiceName, WorkerId
+from orchidrail.work.job import StepState
+from orchidrail.work.model import Size, StepSpec
+
+
+class _ByRoom(NamedTuple):
+    """A service's workers, those with least free processor time first."""
+
+    books: list[WorkerBooks]
+    free_millicores: list[int]
+
+
+class OpenWorkers:
+    """The open workers of one pass.
+
+    Parameters
+    ----------
+    open_books : list of WorkerBooks
+        Workers that may be given new work.
+    """
+
+    def __init__(self, open_books: list[WorkerBooks]) -> None:
+        """Sort the workers by what is free now."""
+        self._by_worker = {books.worker: books for books in open_books}
+        self._kept: set[WorkerId] = set()
+        self._suitable_by_need: dict[
+            tuple[ServiceName, str],
+            list[WorkerBooks],
+        ] = {}
+        self._capacities_by_service: dict[ServiceName, set[Size]] = {}
+        books_by_service: dict[ServiceName, list[WorkerBooks]] = defaultdict(
+            list
+        )
+        for books in open_books:
+            books_by_service[books.entry.service].append(books)
+        self._by_service = {
+            service: _sort_by_room(of_service)
+            for service, of_service in books_by_service.items()
+        }
+
+    def keep(self, workers: set[WorkerId]) -> None:
+        """Keep workers from the steps that come after."""
+        self._kept.update(workers)
+
+    def of_service(self, service: ServiceName) -> list[WorkerBooks]:
+        """Return all open workers of a service, also those that are kept."""
+        by_room = self._by_service.get(service)
+        return by_room.books if by_room else []
+
+    def of_kind(self, step: StepState) -> list[WorkerBooks]:
+        """Return the open workers with the label that a step needs."""
+        need = step.job.queue.service, step.spec.label
+        found = self._suitable_by_need.get(need)
+        if found is None:
+            found = [
+                books
+                for books in self.of_service(need[0])
+                if not need[1] or need[1] in books.entry.labels
+            ]
+            self._suitable_by_need[need] = found
+        return found
+
+    def unknown(self, step: StepState) -> list[WorkerBooks]:
+        """Return the workers of which the service has not been asked yet."""
+        unknown = self._by_worker.keys() - step.permits.known
+        return self._suitable(step, [self._by_worker[one] for one in unknown])
+
+    def with_room(self, step: StepState) -> list[WorkerBooks]:
+        """Return the workers that may run a task of a step now.
+
+        Workers on which its tasks failed are left out while another is good.
+        """
+        found = self._with_room(step)
+        if not found or not step.failed_on or not self._has_other(step):
+            return found
+        return [books for books in found if books.worker not in step.failed_on]
+
+    def most_copies(self, spec: StepSpec, service: ServiceName) -> int:
+        """Return how many of a step's tasks the largest worker holds."""
+        return max(
+            (
+                spec.charged.times_in(capacity)
+                for capacity in self._capacities(service)
+            ),
+            default=0,
+        )
+
+    def has_good(self, step: StepState) -> bool:
+        """Whether an open worker is known that may run a step."""
+        if step.job.queue.advice is None:
+            return bool(self.of_kind(step))
+        return not self._by_worker.keys().isdisjoint(step.permits.good)
+
+    def good_for(self, step: StepState) -> list[WorkerBooks]:
+        """Return the usable workers known to be good, with room or without."""
+        of_kind = self.of_kind(step)
+        if step.job.queue.advice is not None:
+            of_kind = self._good_of(step, of_kind)
+        return self._suitable(step, of_kind)
+
+    def _suitable(
+        self,
+        step: StepState,
+        found: list[WorkerBooks],
+    ) -> list[WorkerBooks]:
+        """Leave out those that are kept, that failed the step or can't run it.
+
+        The workers come by name, so that the same cell gives the same choice.
+        """
+        service = step.job.queue.service
+        suitable = [
+            books
+            for books in found
+            if books.entry.service == service
+            and books.worker not in self._kept
+            and books.worker not in step.failed_on
+            and suits(step.spec, books)
+        ]
+        return sorted(suitable, key=attrgetter('worker'))
+
+    def _with_room(self, step: StepState) -> list[WorkerBooks]:
+        size: Size = step.spec.charged
+        mixes = role_of(step.spec) is TaskRole.PLAIN
+        return [
+            books
+            for books in self._with_processor_time(step, size.millicores)
+            if size.fits(books.free)
+            and books.worker not in self._kept
+            and (mixes or books.bears(step.spec))
+        ]
+
+    def _with_processor_time(
+        self,
+        step: StepState,
+        millicores: int,
+    ) -> list[WorkerBooks]:
+        """Return the workers with enough of it, by the shorter way."""
+        by_room = self._by_service.get(step.job.queue.service)
+        if by_room is None:
+            return []
+        first = bisect.bisect_left(by_room.free_millicores, millicores)
+        found = by_room.books[first:]
+        if step.job.queue.advice is not None:
+            found = self._good_of(step, found)
+        label = step.spec.label
+        if not label:
+            return found
+        return [books for books in found if label in books.entry.labels]
+
+    def _good_of(
+        self,
+        step: StepState,
+        found: list[WorkerBooks],
+    ) -> list[WorkerBooks]:
+        good = step.permits.good
+        if len(found) <= len(good):
+            return [books for books in found if books.worker in good]
+        service = step.job.queue.service
+        by_worker = self._by_worker
+        return [
+            by_worker[worker]
+            for worker in sorted(good & by_worker.keys())
+            if by_worker[worker].entry.service == service
+        ]
+
+    def _capacities(self, service: ServiceName) -> set[Size]:
+        """Return the different sizes of a service's workers."""
+        found = self._capacities_by_service.get(service)
+        if found is None:
+            found = {books.entry.capacity for books in self.of_service(service)}
+            self._capacities_by_service[service] = found
+        return found
+
+    def _has_other(self, step: StepState) -> bool:
+        """Whether a good worker is open on which no task of a step failed."""
+        if step.job.queue.advice is None:
+            others = (books.worker for books in self.of_kind(step))
+        else:
+            others = (
+                worker
+                for worker in step.permits.good
+                if worker in self._by_worker
+            )
+        return any(worker not in step.failed_on for worker in others)
+
+
+def _sort_by_room(of_service: list[WorkerBooks]) -> _ByRoom:
+    ordered = sorted(of_service, key=lambda books: books.free.millicores)
+    return _ByRoom(ordered, [books.free.millicores for books in ordered])
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from operator import itemgetter
 
 import structlog
 
@@ -16,12 +17,13 @@
     needs_earmarks,
 )
 from orchidrail.shard.headroom import Headroom
-from orchidrail.shard.placing import Placement, choose_workers, suits
+from orchidrail.shard.open_workers import OpenWorkers
+from orchidrail.shard.placing import Placement, choose_workers
 from orchidrail.shard.questions import TICKET_MARGIN, Questions
-from orchidrail.shard.ranking import Rank, has_time, rank_step
+from orchidrail.shard.ranking import Rank, Timing, time_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
-from orchidrail.types import JobId, Seconds, WorkerId
+from orchidrail.types import JobId, Seconds, ServiceName
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.waits import WaitReason
 
@@ -48,39 +50,54 @@
         open_books: list[WorkerBooks],
         now: Seconds,
         wall: Seconds,
+        headroom: Headroom,
     ) -> None:
         """Start with all open workers."""
         self.now = now
         self.wall = wall
+        self.workers = OpenWorkers(open_books)
         self.reason_by_job: dict[JobId, WaitReason] = {}
-        self._open_books = open_books
-        self._earmarked: set[WorkerId] = set()
+        self._headroom = headroom
+        self._left_by_need: dict[tuple[ServiceName, str], int] = {}
+        self._crowded_by_service: dict[ServiceName, bool] = {}
         self._earmarks = 0
 
-    def usable(self, step: StepState) -> list[WorkerBooks]:
-        """Return the workers that a step may use now."""
-        usable = [
-            books
-            for books in self._open_books
-            if books.worker not in self._earmarked
-            and books.entry.service == step.job.queue.service
-            and suits(step.spec, books)
-        ]
-        return _spare(step, usable) if step.failed_on else usable
-
-    def earmark(self, step: StepState, workers: set[WorkerId]) -> None:
-        """Keep workers from the steps that come after, if room is scarce."""
-        if not workers or self._earmarks >= _EARMARKS:
+    def left_for_others(self, step: StepState) -> int:
+        """Return the millicores that are not kept for urgent work."""
+        need = step.job.queue.service, step.spec.label
+        left = self._left_by_need.get(need)
+        if left is None:
+            of_kind = self.workers.of_kind(step)
+            left = self._headroom.left_for_others(need[0], of_kind)
+            self._left_by_need[need] = left
+        return left
+
+    def note_placed(self) -> None:
+        """Take that there is less room than before."""
+        self._left_by_need.clear()
+
+    def earmark(self, step: StepState, missing: int) -> None:
+        """Keep workers for what a step still misses, if room is scarce."""
+        if missing <= 0 or self._earmarks >= _EARMARKS:
             return
         service = step.job.queue.service
-        of_service = [
-            books
-            for books in self._open_books
-            if books.entry.service == service
-        ]
-        if crowded(of_service):
+        if not self._crowded(service):
+            return
+        copies = self.workers.most_copies(step.spec, service)
+        if not needs_earmarks(step.spec, copies):
+            return
+        candidates = self.workers.good_for(step)
+        kept = choose_earmarks(step, missing, candidates, self.now)
+        if kept:
             self._earmarks += 1
-            self._earmarked.update(workers)
+            self.workers.keep(kept)
+
+    def _crowded(self, service: ServiceName) -> bool:
+        found = self._crowded_by_service.get(service)
+        if found is None:
+            found = crowded(self.workers.of_service(service))
+            self._crowded_by_service[service] = found
+        return found
 
 
 class Placer:
@@ -105,7 +122,8 @@
         self._desk = desk
         self._questions = Questions(state, runs, desk)
         self._headroom = Headroom()
-        self._steps_by_job: dict[JobId, list[StepState]] = {}
+        #: Steps with tasks whose turn has come, of all open jobs.
+        self._waiting_by_job: dict[JobId, list[tuple[Timing, StepState]]] = {}
         self._due_times = DueTimes()
 
     async def run(self) -> None:
@@ -132,22 +150,26 @@
         self._refresh()
         now = self._state.clock()
         wall = self._state.wall_clock()
-        ranked: list[tuple[Rank, StepState]] = [
-            (rank_step(step, wall), step)
-            for steps in self._steps_by_job.values()
-            for step in steps
-        ]
-        ranked.sort(key=lambda pair: pair[0])
-        if self._waits_for_journal(ranked, now):
+        if self._waits_for_journal(now):
             return
+        ranked = [
+            (timing.rank(wall), timing, step)
+            for steps in self._waiting_by_job.values()
+            for timing, step in steps
+        ]
+        ranked.sort(key=itemgetter(0))
         books_by_worker = self._state.books_by_worker
         open_books = [one for one in books_by_worker.values() if one.open(now)]
         self._headroom.note(open_books, now)
-        this_pass = _Pass(open_books, now, wall)
-        for rank, step in ranked:
+        this_pass = _Pass(open_books, now, wall, self._headroom)
+        for rank, timing, step in ranked:
             tasks = step.startable()
-            if tasks:
-                self._look_at(rank, step, tasks, this_pass)
+            if not tasks:
+                continue
+            allowed = tasks
+            if timing.has_time(wall):
+                allowed = _leave_headroom(step, tasks, this_pass)
+            self._look_at(rank, step, tasks, allowed, this_pass)
         self._note_waits(this_pass.reason_by_job, now)
 
     def _look_at(
@@ -155,41 +177,28 @@
         rank: Rank,
         step: StepState,
         tasks: list[Task],
+        allowed: list[Task],
         this_pass: _Pass,
     ) -> None:
-        """Place what a step may start, or say what it waits for."""
-        usable = this_pass.usable(step)
-        if has_time(step, this_pass.wall):
-            tasks = self._leave_headroom(step, tasks, usable)
-        reason = WaitReason.HEADROOM
-        if tasks:
-            kept = self._place_step(rank, step, tasks, usable, this_pass.now)
-            this_pass.earmark(step, kept)
-            reason = _reason(step, usable)
+        """Place what a step may start, or say what it waits for.
+
+        Parameters
+        ----------
+        allowed : list of Task
+            Those of its waiting `tasks` that need not leave room for others.
+        """
+        if allowed:
+            self._place_step(rank, step, allowed, this_pass)
         if step.startable():
-            this_pass.reason_by_job[step.job.job_id] = reason
+            held_back = len(allowed) < len(tasks)
+            this_pass.reason_by_job[step.job.job_id] = (
+                WaitReason.HEADROOM if held_back else _reason(step, this_pass)
+            )
 
-    def _leave_headroom(
-        self,
-        step: StepState,
-        tasks: list[Task],
-        usable: list[WorkerBooks],
-    ) -> list[Task]:
-        """Return the tasks that may start beside urgent work to come."""
-        size = step.spec.charged.millicores
-        left = self._headroom.left_for_others(step.job.queue.service, usable)
-        if not size or len(tasks) * size <= left:
-            return tasks
-        return [] if step.spec.gang else tasks[: max(0, left // size)]
-
-    def _waits_for_journal(
-        self,
-        ranked: list[tuple[Rank, StepState]],
-        now: Seconds,
-    ) -> bool:
+    def _waits_for_journal(self, now: Seconds) -> bool:
         if self._state.writer.unconfirmed_for() < _JOURNAL_SILENT:
             return False
-        waiting = (step.job.job_id for _, step in ranked if step.startable())
+        waiting = (job for job, steps in self._waiting_by_job.items() if steps)
         self._note_waits(dict.fromkeys(waiting, WaitReason.JOURNAL), now)
         return True
 
@@ -198,11 +207,19 @@
         reason_by_job: dict[JobId, WaitReason],
         now: Seconds,
     ) -> None:
-        for job_id in self._steps_by_job:
+        for job_id in self._waiting_by_job:
             job = self._state.job_by_id.get(job_id)
             if job is not None:
                 job.waits.note(reason_by_job.get(job_id), now)
 
+    def waiting_tasks(self) -> int:
+        """Return how many tasks wait whose turn has come."""
+        return sum(
+            len(step.startable())
+            for steps in self._waiting_by_job.values()
+            for _, step in steps
+        )
+
     async def report(self) -> None:
         """Log the shard's load now and then, for those who look back."""
         while True:
@@ -213,17 +230,16 @@
             every = list(state.books_by_worker.values())
             steps = [
                 step
-                for waiting in self._steps_by_job.values()
-                for step in waiting
+                for waiting in self._waiting_by_job.values()
+                for _, step in waiting
                 if step.startable()
             ]
-            self._gauge(
-                every, now, sum(len(step.startable()) for step in steps)
-            )
+            waiting_tasks = self.waiting_tasks()
+            self._gauge(every, now, waiting_tasks)
             _log.info(
                 'shard load',
                 jobs=len(state.job_by_id),
-                waiting_tasks=sum(len(step.startable()) for step in steps),
+                waiting_tasks=waiting_tasks,
                 waiting_steps=len(steps),
                 asking=sum(step.permits.asking for step in steps),
                 workers=len(every),
@@ -259,10 +275,14 @@
         for job_id in self._state.changed_jobs:
             job = self._state.job_by_id.get(job_id)
             if job is None:
-                self._steps_by_job.pop(job_id, None)
+                self._waiting_by_job.pop(job_id, None)
                 self._due_times.forget(job_id)
                 continue
-            self._steps_by_job[job_id] = list(job.open_steps(wall))
+            self._waiting_by_job[job_id] = [
+                (time_step(step), step)
+                for step in job.open_steps(wall)
+                if step.startable()
+            ]
             self._due_times.note(job, wall)
         self._state.changed_jobs.clear()
 
@@ -271,30 +291,23 @@
         rank: Rank,
         step: StepState,
         tasks: list[Task],
-        usable: list[WorkerBooks],
-        now: Seconds,
-    ) -> set[WorkerId]:
-        """Place a step; return workers to be kept free for it."""
-        if step.job.queue.advice is None:
-            chosen = choose_workers(step, tasks, usable)
-            if chosen:
-                self._runs.launch(step, chosen)
-            return _earmark(step, len(tasks) - len(chosen), usable, now)
-        good_by_worker = step.permits.good_by_worker
-        good = [books for books in usable if good_by_worker.get(books.worker)]
-        chosen = choose_workers(step, tasks, good)
+        this_pass: _Pass,
+    ) -> None:
+        """Place a step, ask for advice that it lacks, keep room for it."""
+        with_room = this_pass.workers.with_room(step)
+        chosen = choose_workers(step, tasks, with_room) if with_room else []
+        missing = len(tasks) - len(chosen)
+        advised = step.job.queue.advice is not None
         if chosen:
-            self._launch_or_renew(rank, step, chosen, now)
-        if len(chosen) == len(tasks):
-            return set()
-        if not step.permits.asking:
-            self._questions.ask_for_more(
-                rank,
-                step,
-                len(tasks) - len(chosen),
-                usable,
-            )
-        return _earmark(step, len(tasks) - len(chosen), good, now)
+            this_pass.note_placed()
+            if advised:
+                self._launch_or_renew(rank, step, chosen, this_pass.now)
+            else:
+                self._runs.launch(step, chosen)
+        if missing and advised and not step.permits.asking:
+            unknown = this_pass.workers.unknown(step)
+            self._questions.ask_for_more(rank, step, missing, unknown)
+        this_pass.earmark(step, missing)
 
     def _launch_or_renew(
         self,
@@ -319,31 +332,25 @@
             self._questions.renew(rank, step, stale)
 
 
-def _earmark(
+def _leave_headroom(
     step: StepState,
-    missing: int,
-    candidates: list[WorkerBooks],
-    now: Seconds,
-) -> set[WorkerId]:
-    if not missing or not needs_earmarks(step.spec, candidates):
-        return set()
-    return choose_earmarks(step, missing, candidates, now)
-
-
-def _reason(step: StepState, usable: list[WorkerBooks]) -> WaitReason:
+    tasks: list[Task],
+    this_pass: _Pass,
+) -> list[Task]:
+    """Return the tasks that may start beside urgent work to come."""
+    size = step.spec.charged.millicores
+    if not size:
+        return tasks
+    left = this_pass.left_for_others(step)
+    if len(tasks) * size <= left:
+        return tasks
+    return [] if step.spec.gang else tasks[: max(0, left // size)]
+
+
+def _reason(step: StepState, this_pass: _Pass) -> WaitReason:
     """Return what the tasks of a step that were not placed wait for."""
-    if step.job.queue.advice is None:
-        return WaitReason.ROOM if usable else WaitReason.WORKERS
-    known = step.permits.good_by_worker
-    good = any(known.get(books.worker) for books in usable)
-    if step.permits.asking and not good:
+    if this_pass.workers.has_good(step):
+        return WaitReason.ROOM
+    if step.permits.asking:
         return WaitReason.ADVICE
-    return WaitReason.ROOM if good else WaitReason.WORKERS
-
-
-def _spare(step: StepState, usable: list[WorkerBooks]) -> list[WorkerBooks]:
-    """Leave out the workers that failed the step, unless no other is good."""
-    others = [books for books in usable if books.worker not in step.failed_on]
-    known = step.permits.good_by_worker
-    good = [books for books in others if known.get(books.worker, True)]
-    return others if good else usable
+    return WaitReason.WORKERS
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.books import TaskRole, WorkerBooks, role_of
 from orchidrail.shard.pace import Pace
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import StepSpec
@@ -25,7 +25,9 @@
     """Whether the worker is of the kind and size that the step needs."""
     if spec.label and spec.label not in books.entry.labels:
         return False
-    return books.bears(spec) and spec.charged.fits(books.entry.capacity)
+    if not spec.charged.fits(books.entry.capacity):
+        return False
+    return role_of(spec) is TaskRole.PLAIN or books.bears(spec)
 
 
 def choose_workers(
--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -66,11 +66,9 @@
         rank: Rank,
         step: StepState,
         missing: int,
-        usable: list[WorkerBooks],
+        unknown: list[WorkerBooks],
     ) -> None:
         """Ask about workers of which nothing is known, the emptiest first."""
-        known = step.permits.good_by_worker
-        unknown = [books for books in usable if books.worker not in known]
         if not unknown:
             return
         unknown.sort(key=lambda books: -books.free.millicores)
@@ -135,7 +133,7 @@
         workers: list[WorkerId],
         advice: Advice,
     ) -> None:
-        known = step.permits.good_by_worker
+        known = step.permits.known
         fresh = [worker for worker in workers if worker not in known]
         good = sum(worker in advice.ticket_by_worker for worker in fresh)
         self._approvals.note(step.job.queue.name, good, len(fresh))
@@ -156,7 +154,7 @@
             for books in held
             if books.open(now)
             and step.permits.fresh(books.worker, until)
-            and step.permits.good_by_worker.get(books.worker)
+            and books.worker in step.permits.good
         ]
         tasks = step.startable()
         if not usable or not tasks:
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from orchidrail.types import Seconds
 from orchidrail.work.job import Job, StepState
 from orchidrail.work.model import JobSpec, QueueSettings
@@ -33,22 +35,46 @@
     return began + job.queue.stretch * chain + job.queue.target
 
 
-def has_time(step: StepState, wall: Seconds) -> bool:
-    """Whether a step still meets its objective if it waits for a while."""
-    job = step.job
-    latest = due_at(job, step.round_number) - longest_chain(job.spec, job.queue)
-    return not job.urgent and wall < latest - _SPARE
+class Timing(NamedTuple):
+    """By when a waiting step should start and its round should end.
 
+    Parameters
+    ----------
+    latest_start, deadline : float
+        Wall clock, seconds since 1970; both rest on the caller's estimates.
+    accepted_at : float
+    urgent : bool
+        Whether the step's queue goes before all others.
+    """
 
-def rank_step(step: StepState, wall: Seconds) -> Rank:
-    """Return the rank of a waiting step; the least goes first.
+    latest_start: Seconds
+    deadline: Seconds
+    accepted_at: Seconds
+    urgent: bool
 
-    Urgent queues go first; then what can still meet its objective, by the
-    latest time at which it must start; then what is late.
-    """
+    def has_time(self, wall: Seconds) -> bool:
+        """Whether the step still meets its objective if it waits a while."""
+        return not self.urgent and wall < self.latest_start - _SPARE
+
+    def rank(self, wall: Seconds) -> Rank:
+        """Return the rank of the step; the least goes first.
+
+        Urgent queues go first; then what can still meet its objective, by the
+        latest time at which it must start; then what is late.
+        """
+        if self.urgent:
+            return (_URGENT, self.accepted_at)
+        tier = _LATE if wall > self.deadline else _IN_TIME
+        return (tier, self.latest_start)
+
+
+def time_step(step: StepState) -> Timing:
+    """Return the timing of a step, which never changes."""
     job = step.job
-    if job.urgent:
-        return (_URGENT, job.record.accepted_at)
     deadline = due_at(job, step.round_number)
-    tier = _LATE if wall > deadline else _IN_TIME
-    return (tier, deadline - longest_chain(job.spec, job.queue))
+    return Timing(
+        deadline - longest_chain(job.spec, job.queue),
+        deadline,
+        job.record.accepted_at,
+        job.urgent,
+    )
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -92,6 +92,7 @@
         run = step.next_run([placement.task for placement in chosen])
         keys = [self._place(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
+        self._state.changed_jobs.add(step.job.job_id)
         for key, placement in zip(keys, chosen, strict=True):
             doubt = partial(self._doubt_start, key, placement.books)
             self._tasks.spawn(self._start(commit, key, placement), doubt)
@@ -112,17 +113,24 @@
 
     def stop_job(self, job: Job) -> None:
         """Stop all that a job has placed anywhere."""
-        for books in self._state.books_by_worker.values():
-            for run in list(books.run_by_key.values()):
-                if run.task is not None and run.task.step.job is job:
-                    self.stop(books, run)
+        for books, run in self._runs_of(job):
+            self.stop(books, run)
 
     def forget_job(self, job: Job) -> None:
         """Give back the room of a job none of whose starts was sent."""
-        for books in self._state.books_by_worker.values():
-            for run in list(books.run_by_key.values()):
-                if run.task is not None and run.task.step.job is job:
-                    books.release(run.key)
+        for books, run in self._runs_of(job):
+            books.release(run.key)
+
+    def _runs_of(self, job: Job) -> list[tuple[WorkerBooks, PlacedRun]]:
+        """Return a job's runs that take room, with their workers."""
+        every = map(self._state.books_by_worker.get, job.workers)
+        return [
+            (books, run)
+            for books in every
+            if books is not None
+            for run in books.run_by_key.values()
+            if run.task is not None and run.task.step.job is job
+        ]
 
     def stop(self, books: WorkerBooks, run: PlacedRun) -> None:
         """Order a run's stop, again until its end is known."""
--- a/orchidrail/shard/tests/test_earmarks.py
+++ b/orchidrail/shard/tests/test_earmarks.py
@@ -13,6 +13,7 @@
     time_left,
     time_to_room,
 )
+from orchidrail.shard.open_workers import OpenWorkers
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.types import RunNumber
 from orchidrail.work.model import Size, StepSpec
@@ -31,10 +32,14 @@
 
 class EarmarksTest(TestCase):
     def test_only_gangs_and_large_tasks_need_them(self) -> None:
-        books = [make_books('a')]
+        workers = OpenWorkers([make_books('a')])
         small, large = StepSpec(1, Size(1000)), StepSpec(1, Size(2000))
         gang = StepSpec(2, Size(1000), gang=True)
-        needs = [needs_earmarks(spec, books) for spec in (small, large, gang)]
+        service = make_books('a').entry.service
+        needs = [
+            needs_earmarks(spec, workers.most_copies(spec, service))
+            for spec in (small, large, gang)
+        ]
         self.assertEqual([False, True, True], needs)
 
     def test_the_worker_that_is_free_soonest_is_kept(self) -> None:
--- /dev/null
+++ b/orchidrail/shard/tests/test_open_workers.py
@@ -0,0 +1,102 @@
+"""Tests of how a pass finds the workers that have room."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.open_workers import OpenWorkers
+from orchidrail.shard.tests.test_placing import make_books, make_step
+from orchidrail.types import RunNumber, TaskKey, WorkerId
+from orchidrail.work.job import StepState
+from orchidrail.work.model import AdviceCost, Size, StepSpec
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.port import RunKey
+
+_COST = AdviceCost(0.5, 0.01, 1.5)
+
+
+def _fill(books: WorkerBooks, cores: int) -> None:
+    """Take room of a worker."""
+    key = RunKey(TaskKey('j.0.0.0'), RunNumber(len(books.run_by_key) + 1))
+    books.charge(PlacedRun(key, Size(cores * 1000), None, 0), 'j.0.0')
+
+
+def _advised(spec: StepSpec, *good: str) -> StepState:
+    """Return a step that only some workers may run."""
+    step = make_step(spec)
+    record = step.job.record
+    step.job.record = type(record)(
+        type(record.queue)(
+            record.queue.name,
+            record.queue.host,
+            record.queue.path_prefix,
+            record.queue.service,
+            advice=_COST,
+        ),
+        record.spec,
+        record.accepted_at,
+    )
+    tickets = {WorkerId(worker): 'ticket' for worker in good}
+    step.permits.learn(list(tickets), tickets, 10)
+    return step
+
+
+def _names(found: list[WorkerBooks]) -> list[str]:
+    return [books.worker for books in found]
+
+
+class OpenWorkersTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.books = [make_books(name, cores=8) for name in 'abcd']
+        for cores, books in enumerate(self.books):
+            _fill(books, 2 * cores)
+
+    def test_workers_with_too_little_room_are_passed_over(self) -> None:
+        workers = OpenWorkers(self.books)
+        step = make_step(StepSpec(1, Size(4000)))
+        self.assertEqual(['c', 'b', 'a'], _names(workers.with_room(step)))
+
+    def test_room_that_went_in_the_same_pass_counts(self) -> None:
+        workers = OpenWorkers(self.books)
+        _fill(self.books[0], 8)
+        step = make_step(StepSpec(1, Size(4000)))
+        self.assertEqual(['c', 'b'], _names(workers.with_room(step)))
+
+    def test_workers_that_are_kept_are_passed_over(self) -> None:
+        workers = OpenWorkers(self.books)
+        workers.keep({WorkerId('b')})
+        step = make_step(StepSpec(1, Size(4000)))
+        self.assertEqual(['c', 'a'], _names(workers.with_room(step)))
+
+    def test_only_permitted_workers_are_found_where_advice_is_needed(
+        self,
+    ) -> None:
+        workers = OpenWorkers(self.books)
+        step = _advised(StepSpec(1, Size(4000)), 'a', 'd')
+        self.assertEqual(['a'], _names(workers.with_room(step)))
+        self.assertEqual(['b', 'c'], _names(workers.unknown(step)))
+        self.assertEqual(['a', 'd'], _names(workers.good_for(step)))
+
+    def test_a_worker_that_failed_a_step_is_taken_only_if_no_other_is(
+        self,
+    ) -> None:
+        step = make_step(StepSpec(1, Size(4000)))
+        step.failed_on.add(WorkerId('a'))
+        workers = OpenWorkers(self.books)
+        self.assertEqual(['c', 'b'], _names(workers.with_room(step)))
+        alone = OpenWorkers(self.books[:1])
+        self.assertEqual(['a'], _names(alone.with_room(step)))
+
+    def test_the_label_that_a_step_needs_is_looked_at(self) -> None:
+        workers = OpenWorkers(self.books)
+        step = make_step(StepSpec(1, Size(1000), label='kind-b'))
+        self.assertEqual([], workers.with_room(step))
+        self.assertFalse(workers.has_good(step))
+
+    def test_the_largest_worker_tells_how_many_copies_fit(self) -> None:
+        service = make_job(StepSpec(1)).queue.service
+        workers = OpenWorkers([*self.books, make_books('e', cores=32)])
+        copies = workers.most_copies(StepSpec(1, Size(10_000)), service)
+        self.assertEqual(3, copies)
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -80,7 +80,7 @@
             submitting.cancel()
             await asyncio.sleep(0.1)
             self.assertEqual(JobPhase.QUEUED, owner.phase(_JOB))
-            self.assertIn(_JOB, owner.placer._steps_by_job)
+            self.assertIn(_JOB, owner.placer._waiting_by_job)
 
         self.play(scene)
 
@@ -90,7 +90,7 @@
             submitting = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
             await asyncio.sleep(0.1)
             self.assertFalse(submitting.done())
-            self.assertIn(_JOB, owner.placer._steps_by_job)
+            self.assertIn(_JOB, owner.placer._waiting_by_job)
             self.store.fault = None
             self.assertTrue(await submitting)
 
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -150,6 +150,8 @@
         self.longest_at = WorkerId('')
         #: What its tasks waited for, to explain later why it was late.
         self.waits = Waits()
+        #: Every worker that a task was ever given to.
+        self.workers: set[WorkerId] = set()
         self._steps_by_round: dict[int, list[StepState]] = {}
 
     @property
@@ -233,6 +235,7 @@
         task.phase = TaskPhase.PLACED
         task.run = run
         task.worker = worker
+        self.workers.add(worker)
         self.begun = True
         if self.phase is JobPhase.QUEUED:
             self.phase = JobPhase.RUNNING
@@ -299,6 +302,7 @@
             task = self.find_task(row.round_number, row.step, row.index)
             if task is not None:
                 task.restore(row)
+                self.workers.add(row.worker)
                 self.begun = True
         if progress.rows:
             self.phase = JobPhase.RUNNING
--- a/orchidrail/work/permits.py
+++ b/orchidrail/work/permits.py
@@ -13,7 +13,10 @@
 
     def __init__(self) -> None:
         """Know nothing."""
-        self.good_by_worker: dict[WorkerId, bool] = {}
+        #: Workers of which the service has said whether they may run it.
+        self.known: set[WorkerId] = set()
+        #: Those of them that may.
+        self.good: set[WorkerId] = set()
         self.ticket_by_worker: dict[WorkerId, str] = {}
         self.valid_until_by_worker: dict[WorkerId, Seconds] = {}
         #: Calls about the step that are under way.
@@ -26,8 +29,8 @@
         valid_until: Seconds,
     ) -> None:
         """Take the answer to a question about the workers `asked`."""
-        for worker in asked:
-            self.good_by_worker[worker] = worker in ticket_by_worker
+        self.known.update(asked)
+        self.good.update(ticket_by_worker)
         for worker, ticket in ticket_by_worker.items():
             self.ticket_by_worker[worker] = ticket
             self.valid_until_by_worker[worker] = valid_until
--- a/proving/outage.py
+++ b/proving/outage.py
@@ -13,7 +13,7 @@
 from orchidrail.types import FINAL_JOB_STATES, Seconds, Verdict
 from proving.cell import VirtualCell
 from proving.load import Asked, Load, bundle_change
-from proving.virtual import VirtualLoop
+from standins.model.loop import VirtualLoop
 
 _BEFORE: Seconds = 60
 _OUTAGE: Seconds = 600
--- a/proving/run.py
+++ b/proving/run.py
@@ -12,7 +12,7 @@
 from proving.faults import FAULTS, PLANNED, race_publishers
 from proving.judges import JUDGES, ROLL_OUT_LIMIT
 from proving.load import Load, bundle_change
-from proving.virtual import VirtualLoop
+from standins.model.loop import VirtualLoop
 
 Fault = Callable[[VirtualCell], Awaitable[None]]
 
--- a/proving/virtual.py
+++ b/proving/virtual.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
 from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
@@ -25,35 +24,6 @@
 _LONGEST_DELAY: Seconds = 0.002
 
 
-class _InstantSelector(selectors.SelectSelector):
-    """Never waits: it moves the loop's clock on instead."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now: Seconds = 0
-
-    def select(self, timeout: float | None = None):  # type: ignore[no-untyped-def]
-        """Return what is ready, or let the time pass."""
-        ready = super().select(0)
-        if not ready:
-            if timeout is None:
-                raise RuntimeError('nothing is left to happen')
-            self.now += max(0, timeout)
-        return ready
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer."""
-
-    def __init__(self) -> None:
-        self._instant = _InstantSelector()
-        super().__init__(self._instant)
-
-    def time(self) -> Seconds:
-        """Return the virtual time, seconds."""
-        return self._instant.now
-
-
 class Node:
     """A process as the network sees it."""
 
--- /dev/null
+++ b/standins/model/cell.py
@@ -0,0 +1,203 @@
+"""One modelled day of a cell: a real owner, drawn jobs, judged ends."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from contextlib import AsyncExitStack
+from random import Random
+
+import msgspec
+import structlog
+from result import Ok, Result
+
+from orchidrail.journal import JournalView
+from orchidrail.journal.writer import take_over
+from orchidrail.metrics import InstanceMetrics
+from orchidrail.shard.owner import OwnerPorts, ShardOwner
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore
+from orchidrail.store.port import KeyedRecord
+from orchidrail.types import Address, Epoch, InstanceId, JobId, Seconds
+from orchidrail.work.job import Job
+from orchidrail.work.model import MemberInfo, Size
+from orchidrail.workers.port import WorkerEntry
+from standins.model.judging import (
+    EndedJob,
+    Outcome,
+    earned_share,
+    judge_queues,
+)
+from standins.model.load import CellLoad, DrawnJob, draw_jobs
+from standins.model.loop import run_in_virtual_time
+from standins.model.workers import ModelWorkers
+
+_ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
+#: Wall clock at the start of a day, seconds since 1970.
+_DAY_BEGINS: Seconds = 1_800_000_000
+#: The owner meets its workers before the traffic starts.
+_LEAD: Seconds = 3
+#: Time after the traffic in which jobs may still end.
+_FINISH: Seconds = 30
+#: Longer than any modelled day.
+_STATUS_KEPT: Seconds = 600
+_SAMPLE_EVERY: Seconds = 0.25
+_WATCH_EVERY: Seconds = 0.01
+_TOPIC = Topic('workers')
+
+_decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
+
+
+def _decode(key: str, raw: bytes) -> Result[WorkerEntry, str]:
+    return Ok(_decode_entry(raw))
+
+
+class CellModel:
+    """Plays one day.
+
+    Parameters
+    ----------
+    load : CellLoad
+    seed : int
+    """
+
+    def __init__(self, load: CellLoad, seed: int) -> None:
+        """Draw the day's jobs."""
+        random = Random(seed)
+        self._load = load
+        self._drawn_by_id = {
+            f'{number:016x}': job
+            for number, job in enumerate(draw_jobs(load, random))
+        }
+        self.workers = ModelWorkers(
+            load,
+            random,
+            self._drawn_by_id.__getitem__,
+        )
+        self._ended_by_id: dict[str, EndedJob] = {}
+        self._busy: list[float] = []
+        self._idle_waiting: list[float] = []
+
+    def play(self) -> Outcome:
+        """Play the day and judge it; its log lines are dropped."""
+        structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+        began = time.process_time()
+        try:
+            run_in_virtual_time(self._play())
+        finally:
+            structlog.reset_defaults()
+        return self._judge(time.process_time() - began)
+
+    async def _play(self) -> None:
+        owner = await self._take_over()
+        async with AsyncExitStack() as stack:
+            works = (
+                owner.run(),
+                self._sample(owner),
+                self._watch(owner),
+                self._harm(),
+            )
+            for work in works:
+                stack.callback(asyncio.create_task(work).cancel)
+            await asyncio.sleep(_LEAD)
+            callers = [
+                asyncio.create_task(self._submit(owner, job_id, drawn))
+                for job_id, drawn in self._drawn_by_id.items()
+            ]
+            await asyncio.sleep(self._load.lasts + _FINISH)
+            for caller in callers:
+                caller.cancel()
+
+    async def _take_over(self) -> ShardOwner:
+        loop = asyncio.get_running_loop()
+        store = MemoryStore()
+        entries = [
+            KeyedRecord(worker, msgspec.msgpack.encode(one.entry))
+            for worker, one in self.workers.by_id.items()
+        ]
+        await store.append(_TOPIC, entries)
+        view = JournalView(store, Topic('journal'))
+        writer = await take_over(view, _ME, loop.time, Epoch(0))
+        owner = ShardOwner(
+            writer,
+            OwnerPorts(
+                worker_view=JournalView(store, _TOPIC),
+                worker_calls=self.workers,
+                decode_entry=_decode,
+                ask=self.workers.ask,
+                clock=loop.time,
+                wall_clock=_wall_clock,
+                store_away=bool,
+                longest_lease=6,
+                stop_takes=0,
+                status_kept=_STATUS_KEPT,
+                metrics=InstanceMetrics(),
+            ),
+        )
+        lanes = range(self._load.lanes)
+        owner.use_lanes([InstanceId(f'lane-{lane}') for lane in lanes])
+        return owner
+
+    async def _submit(
+        self,
+        owner: ShardOwner,
+        job_id: str,
+        drawn: DrawnJob,
+    ) -> None:
+        await asyncio.sleep(drawn.arrives_at)
+        await owner.submit(JobId(job_id), drawn.queue.settings, drawn.spec)
+
+    async def _watch(self, owner: ShardOwner) -> None:
+        """Note each job's end, at most a hundredth of a second late."""
+        loop = asyncio.get_running_loop()
+        running: dict[JobId, Job] = {}
+        while True:
+            await asyncio.sleep(_WATCH_EVERY)
+            live = owner.state.job_by_id
+            for job_id in running.keys() - live.keys():
+                drawn = self._drawn_by_id[job_id]
+                took = loop.time() - _LEAD - drawn.arrives_at
+                ended = EndedJob(drawn, running[job_id].phase, took)
+                self._ended_by_id[job_id] = ended
+            running = dict(live)
+
+    async def _sample(self, owner: ShardOwner) -> None:
+        await asyncio.sleep(_LEAD)
+        for _ in range(int(self._load.lasts / _SAMPLE_EVERY)):
+            await asyncio.sleep(_SAMPLE_EVERY)
+            whole, free = Size(), Size()
+            for books in owner.state.books_by_worker.values():
+                whole += books.entry.capacity
+                free += books.free
+            share = free.millicores / max(1, whole.millicores)
+            self._busy.append(1 - share)
+            waits = owner.placer.waiting_tasks() > 0
+            self._idle_waiting.append(share if waits else 0)
+
+    async def _harm(self) -> None:
+        loop = asyncio.get_running_loop()
+        for outage in self._load.outages:
+            await asyncio.sleep(max(0, _LEAD + outage.at - loop.time()))
+            until = _LEAD + outage.at + outage.lasts
+            self.workers.silence(outage.share, until)
+
+    def _judge(self, processor_s: Seconds) -> Outcome:
+        jobs = [
+            self._ended_by_id.get(job_id, EndedJob(drawn, None, None))
+            for job_id, drawn in self._drawn_by_id.items()
+        ]
+        return Outcome(
+            earned_share(jobs),
+            judge_queues(jobs),
+            round(statistics.fmean(self._busy), 3),
+            round(statistics.fmean(self._idle_waiting), 3),
+            self.workers.overfull,
+            self.workers.doubled,
+            self.workers.refused_tickets,
+            round(processor_s, 2),
+        )
+
+
+def _wall_clock() -> Seconds:
+    return _DAY_BEGINS + asyncio.get_running_loop().time()
--- /dev/null
+++ b/standins/model/judging.py
@@ -0,0 +1,109 @@
+"""What a modelled day came to."""
+
+from __future__ import annotations
+
+import statistics
+from typing import NamedTuple
+
+from orchidrail.types import Seconds
+from orchidrail.work.records import JobPhase
+from standins.model.load import DrawnJob
+
+#: Part of its worth that a job has which ends late.
+_LATE_SHARE = 0.2
+#: Times its objective after which a job is worth nothing.
+_USELESS_AFTER = 3
+
+
+class EndedJob(NamedTuple):
+    """A job and how it ended; `took` is None if it did not end that day."""
+
+    drawn: DrawnJob
+    phase: JobPhase | None
+    took: Seconds | None
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the job was completed within its objective."""
+        return self.lateness <= 1
+
+    @property
+    def lateness(self) -> float:
+        """Time taken as a share of the objective, infinite if not done."""
+        if self.took is None or self.phase is not JobPhase.COMPLETED:
+            return float('inf')
+        return self.took / self.drawn.objective
+
+    @property
+    def earned(self) -> float:
+        """What the job was worth in the end."""
+        if self.in_time:
+            return self.drawn.worth
+        late = self.lateness <= _USELESS_AFTER
+        return _LATE_SHARE * self.drawn.worth if late else 0
+
+
+class QueueOutcome(NamedTuple):
+    """One queue's day."""
+
+    jobs: int
+    late: int
+    failed: int
+    unfinished: int
+    worth: float
+    median_lateness: float
+
+    @classmethod
+    def of(cls, jobs: list[EndedJob]) -> QueueOutcome:
+        """Sum up the jobs of one queue."""
+        owed = sum(job.drawn.worth for job in jobs)
+        return cls(
+            len(jobs),
+            sum(not job.in_time for job in jobs),
+            sum(job.phase is JobPhase.FAILED for job in jobs),
+            sum(job.took is None for job in jobs),
+            round(sum(job.earned for job in jobs) / owed, 3),
+            round(statistics.median(job.lateness for job in jobs), 3),
+        )
+
+
+class Outcome(NamedTuple):
+    """One modelled day, judged.
+
+    Parameters
+    ----------
+    worth : float
+        Earned as a share of what was owed.
+    busy_share : float
+        Part of all cores in use, mean over the traffic.
+    idle_waiting_share : float
+        Part of all cores free while tasks waited, mean over the traffic.
+    overfull, doubled : int
+        Broken promises.
+    """
+
+    worth: float
+    by_queue: dict[str, QueueOutcome]
+    busy_share: float
+    idle_waiting_share: float
+    overfull: int
+    doubled: int
+    refused_tickets: int
+    processor_s: Seconds
+
+
+def judge_queues(jobs: list[EndedJob]) -> dict[str, QueueOutcome]:
+    """Sum up each queue's jobs."""
+    names = sorted({job.drawn.queue.name for job in jobs})
+    return {
+        name: QueueOutcome.of(
+            [job for job in jobs if job.drawn.queue.name == name]
+        )
+        for name in names
+    }
+
+
+def earned_share(jobs: list[EndedJob]) -> float:
+    """Return what was earned as a share of what was owed."""
+    owed = sum(job.drawn.worth for job in jobs)
+    return round(sum(job.earned for job in jobs) / owed, 4)
--- /dev/null
+++ b/standins/model/load.py
@@ -0,0 +1,261 @@
+"""What happens on a modelled day: a cell, its queues, surges and faults."""
+
+from __future__ import annotations
+
+import math
+import pathlib
+import tomllib
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from orchidrail.types import QueueName, Seconds, ServiceName
+from orchidrail.work.model import (
+    AdviceCost,
+    JobSpec,
+    QueueSettings,
+    Size,
+    StepSpec,
+)
+
+SERVICE = ServiceName('service')
+_MILLI = 1000
+#: Most that a job counts, as a multiple of its queue's mean worth.
+_MOST_WORTH = 4
+#: Part of a job's worth that does not depend on its size.
+_FLAT_WORTH = 0.3
+#: Workers in the call for advice that an objective allows for.
+_ADVICE_ALLOWED = 30
+
+
+class Draw(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A log-normal distribution, cut off.
+
+    Parameters
+    ----------
+    mean, spread : float
+        Mean, and standard deviation as a share of it.
+    most : float
+    """
+
+    mean: float
+    spread: float = 0
+    most: float = math.inf
+
+    def draw(self, random: Random) -> float:
+        """Return one value."""
+        variance = math.log1p(self.spread**2)
+        middle = math.log(self.mean) - variance / 2
+        return min(self.most, random.lognormvariate(middle, variance**0.5))
+
+
+class QueueLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The jobs of one queue.
+
+    Parameters
+    ----------
+    per_s : float
+        Jobs a second.
+    stretch, target : float
+        A job's objective is `stretch` times its longest chain of work, and
+        `target` seconds.
+    steps, tasks, cores, megabytes, work : Draw
+        Of each job; `work` in seconds a task.
+    fails : float
+        Share of runs that fail by themselves.
+    estimate_off : float
+        Spread of the caller's estimates.
+    gang, apart : float
+        Share of steps whose tasks start together, or each on a worker of its
+        own.
+    good : float
+        Share of the workers that may run a step, where advice has a cost.
+    """
+
+    name: str
+    per_s: float
+    worth: float
+    priority: int
+    stretch: float
+    target: Seconds
+    tasks: Draw
+    cores: Draw
+    megabytes: Draw
+    work: Draw
+    steps: float = 1
+    fails: float = 0
+    estimate_off: float = 0
+    gang: float = 0
+    apart: float = 0
+    advice: tuple[Seconds, Seconds, Seconds] | None = None
+    good: float = 1
+    attempts: int = 3
+
+    @property
+    def settings(self) -> QueueSettings:
+        """The queue's settings, as a bundle would give them."""
+        return QueueSettings(
+            QueueName(self.name),
+            'host',
+            f'/{self.name}/',
+            SERVICE,
+            priority=self.priority,
+            max_attempts=self.attempts,
+            stretch=self.stretch,
+            target=self.target,
+            advice=AdviceCost(*self.advice) if self.advice else None,
+        )
+
+
+class Surge(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A queue's rate is multiplied for a while."""
+
+    queue: str
+    at: Seconds
+    lasts: Seconds
+    times: float
+
+
+class Outage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A share of the workers answers nothing for a while, and runs on."""
+
+    at: Seconds
+    lasts: Seconds
+    share: float
+
+
+class CellLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One modelled day.
+
+    Parameters
+    ----------
+    slow_share, slow_times : float
+        Share of the workers that are slower, and by which factor.
+    lanes : int
+        Machines through which advice may be asked for.
+    lasts : float
+        Seconds of traffic.
+    """
+
+    queues: list[QueueLoad]
+    workers: int = 24
+    cores: int = 64
+    megabytes: int = 256_000
+    rack: int = 8
+    slow_share: float = 0
+    slow_times: float = 1.3
+    lanes: int = 7
+    lasts: Seconds = 30
+    surges: list[Surge] = []
+    outages: list[Outage] = []
+
+
+class DrawnJob(NamedTuple):
+    """A job as its caller hands it in, and what only the model knows."""
+
+    queue: QueueLoad
+    arrives_at: Seconds
+    spec: JobSpec
+    #: Seconds of work by step and task.
+    work: list[list[Seconds]]
+    #: Time from its arrival within which it is to end.
+    objective: Seconds
+    worth: float
+
+
+def read_load(path: str) -> CellLoad:
+    """Read a day from a TOML file.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        A field is unknown, missing or of another type.
+    """
+    raw: dict[str, Any] = tomllib.loads(pathlib.Path(path).read_text())
+    return msgspec.convert(raw, CellLoad)
+
+
+def draw_jobs(load: CellLoad, random: Random) -> list[DrawnJob]:
+    """Draw a day's jobs in the order of their arrival."""
+    jobs: list[DrawnJob] = []
+    for queue in load.queues:
+        now: Seconds = 0
+        while True:
+            now += random.expovariate(_rate(load, queue, now))
+            if now > load.lasts:
+                break
+            jobs.append(_draw_job(load, queue, now, random))
+    return sorted(jobs, key=lambda job: job.arrives_at)
+
+
+def _rate(load: CellLoad, queue: QueueLoad, now: Seconds) -> float:
+    rate = queue.per_s
+    for surge in load.surges:
+        begun = surge.at <= now < surge.at + surge.lasts
+        if begun and surge.queue == queue.name:
+            rate *= surge.times
+    return rate
+
+
+def _draw_job(
+    load: CellLoad,
+    queue: QueueLoad,
+    now: Seconds,
+    random: Random,
+) -> DrawnJob:
+    steps: list[StepSpec] = []
+    work: list[list[Seconds]] = []
+    count = 1 + (random.random() < queue.steps - 1)
+    for number in range(count):
+        step, takes = _draw_step(load, queue, number, random)
+        steps.append(step)
+        work.append(takes)
+    base, each, _ = queue.advice or (0, 0, 0)
+    advice = base + each * _ADVICE_ALLOWED
+    chain = sum(max(takes) + advice for takes in work)
+    return DrawnJob(
+        queue,
+        now,
+        JobSpec('text', tuple(steps)),
+        work,
+        queue.stretch * chain + queue.target,
+        _worth(queue, steps, work),
+    )
+
+
+def _worth(
+    queue: QueueLoad,
+    steps: list[StepSpec],
+    work: list[list[Seconds]],
+) -> float:
+    """Return a job's worth, which grows with its core-seconds."""
+    done = sum(
+        step.size.millicores * sum(takes)
+        for step, takes in zip(steps, work, strict=True)
+    )
+    usual = queue.tasks.mean * queue.cores.mean * queue.work.mean * queue.steps
+    share = min(_MOST_WORTH, done / _MILLI / usual)
+    return queue.worth * (_FLAT_WORTH + (1 - _FLAT_WORTH) * share)
+
+
+def _draw_step(
+    load: CellLoad,
+    queue: QueueLoad,
+    number: int,
+    random: Random,
+) -> tuple[StepSpec, list[Seconds]]:
+    cores = min(load.cores, queue.cores.draw(random))
+    megabytes = min(load.megabytes, queue.megabytes.draw(random))
+    mean = queue.work.draw(random)
+    tasks = max(1, round(queue.tasks.draw(random)))
+    step = StepSpec(
+        tasks,
+        Size(round(cores * _MILLI), round(megabytes)),
+        estimate=Draw(mean, queue.estimate_off).draw(random),
+        after=(number - 1,) if number else (),
+        gang=random.random() < queue.gang,
+        most_per_worker=int(random.random() < queue.apart),
+    )
+    spread = 0 if step.gang else queue.work.spread / 2
+    return step, [Draw(mean, spread).draw(random) for _ in range(tasks)]
--- /dev/null
+++ b/standins/model/workers.py
@@ -0,0 +1,255 @@
+"""Workers of the modelled cell: they run tasks in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import zlib
+from collections.abc import Callable
+from random import Random
+
+from orchidrail.shard.books import Size
+from orchidrail.types import Address, Epoch, Seconds, TaskKey, WorkerId
+from orchidrail.workers.port import (
+    ActiveRun,
+    Advice,
+    EndedRun,
+    HoldOrder,
+    Listing,
+    OrderAnswer,
+    OrderResult,
+    RunEnding,
+    RunKey,
+    StartOrder,
+    WorkerEntry,
+)
+from standins.model.load import SERVICE, CellLoad, DrawnJob
+
+#: One way over the network.
+_TRAVELS: Seconds = 0.001
+_WHOLE = 100
+#: Start of the steady clocks of the workers.
+_CLOCK_BEGINS: Seconds = 1000
+
+
+class _Run:
+    def __init__(self, key: RunKey, began: Seconds, takes: Seconds) -> None:
+        self.key = key
+        self.began = began
+        self.takes = takes
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class ModelWorker:
+    """One worker."""
+
+    def __init__(self, entry: WorkerEntry, slowness: float) -> None:
+        """Start idle."""
+        self.entry = entry
+        self.slowness = slowness
+        self.silent_until: Seconds = 0
+        self.run_by_key: dict[RunKey, _Run] = {}
+        self.ended: list[EndedRun] = []
+        self.changed = asyncio.Event()
+        self._number = 0
+
+    def end(self, key: RunKey, ending: RunEnding) -> None:
+        """End a run and list its end."""
+        run = self.run_by_key.pop(key, None)
+        if run is None:
+            return
+        if run.timer is not None:
+            run.timer.cancel()
+        self._number += 1
+        self.ended.append(EndedRun(self._number, key, ending, ''))
+        self.changed.set()
+
+    def listing(self, now: Seconds, last_seen: int) -> Listing:
+        """Return what runs and the ends after `last_seen`."""
+        self.ended = [end for end in self.ended if end.number > last_seen]
+        active = [
+            ActiveRun(run.key, '', _WHOLE * (now - run.began) / run.takes)
+            for run in self.run_by_key.values()
+        ]
+        return Listing(_CLOCK_BEGINS + now, active, list(self.ended))
+
+
+class ModelWorkers:
+    """All workers of a cell; fits `WorkerCalls`, and gives advice.
+
+    Parameters
+    ----------
+    load : CellLoad
+    random : Random
+    find_job : callable
+        From a job's id to the job as it was drawn.
+    """
+
+    def __init__(
+        self,
+        load: CellLoad,
+        random: Random,
+        find_job: Callable[[str], DrawnJob],
+    ) -> None:
+        """Start with all workers idle."""
+        self._random = random
+        self._find_job = find_job
+        self.by_id: dict[WorkerId, ModelWorker] = {}
+        #: Starts that took a worker past its room, and second runs of a task.
+        self.overfull = 0
+        self.doubled = 0
+        self.refused_tickets = 0
+        self._where_by_task: dict[TaskKey, WorkerId] = {}
+        for number in range(load.workers):
+            slow = random.random() < load.slow_share
+            entry = _make_entry(load, number)
+            slowness = load.slow_times if slow else 1
+            self.by_id[entry.worker] = ModelWorker(entry, slowness)
+
+    def silence(self, share: float, until: Seconds) -> None:
+        """Let a share of the workers answer nothing for a while."""
+        count = round(share * len(self.by_id))
+        for worker in self._random.sample(list(self.by_id.values()), count):
+            worker.silent_until = until
+
+    async def start(
+        self,
+        entry: WorkerEntry,
+        order: StartOrder,
+        timeout: Seconds,
+    ) -> OrderAnswer:
+        """See `WorkerCalls.start`."""
+        worker = self.by_id[entry.worker]
+        if not await self._reaches(worker, timeout):
+            return OrderAnswer(OrderResult.UNKNOWN)
+        now = asyncio.get_running_loop().time()
+        job, step, index = self._drawn(order.key)
+        if job.queue.advice and not _ticket_holds(order.ticket, now):
+            self.refused_tickets += 1
+            return OrderAnswer(OrderResult.NO_TICKET, _CLOCK_BEGINS + now)
+        self._judge(worker, order.key)
+        takes = job.work[step][index] * worker.slowness
+        ending = RunEnding.DONE
+        if self._random.random() < job.queue.fails:
+            ending = RunEnding.FAILED
+            takes *= self._random.random()
+        run = _Run(order.key, now, takes)
+        worker.run_by_key[order.key] = run
+        run.timer = asyncio.get_running_loop().call_later(
+            takes,
+            self._end,
+            worker,
+            order.key,
+            ending,
+        )
+        await asyncio.sleep(_TRAVELS)
+        return OrderAnswer(OrderResult.TAKEN, _CLOCK_BEGINS + now)
+
+    async def stop(
+        self,
+        entry: WorkerEntry,
+        key: RunKey,
+        epoch: Epoch,
+        timeout: Seconds,
+    ) -> OrderAnswer:
+        """See `WorkerCalls.stop`."""
+        worker = self.by_id[entry.worker]
+        if not await self._reaches(worker, timeout):
+            return OrderAnswer(OrderResult.UNKNOWN)
+        self._end(worker, key, RunEnding.STOPPED)
+        now = asyncio.get_running_loop().time()
+        return OrderAnswer(OrderResult.TAKEN, _CLOCK_BEGINS + now)
+
+    async def hold(
+        self,
+        entry: WorkerEntry,
+        order: HoldOrder,
+        timeout: Seconds,
+    ) -> Listing | OrderAnswer:
+        """See `WorkerCalls.hold`."""
+        loop = asyncio.get_running_loop()
+        worker = self.by_id[entry.worker]
+        if not await self._reaches(worker, timeout):
+            return OrderAnswer(OrderResult.UNKNOWN)
+        listing = worker.listing(loop.time(), order.last_seen)
+        if order.wait and not listing.ended:
+            worker.changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(order.wait):
+                    await worker.changed.wait()
+            listing = worker.listing(loop.time(), order.last_seen)
+        await asyncio.sleep(_TRAVELS)
+        return listing
+
+    async def ask(
+        self,
+        lane: str,
+        step_key: str,
+        workers: list[WorkerId],
+        timeout: Seconds,
+    ) -> Advice | None:
+        """Answer a question after the time that it takes."""
+        queue = self._find_job(step_key.partition('.')[0]).queue
+        base, each, valid = queue.advice or (0, 0, 0)
+        await asyncio.sleep(2 * _TRAVELS + base + each * len(workers))
+        until = asyncio.get_running_loop().time() + valid
+        tickets = {
+            worker: str(until)
+            for worker in workers
+            if _approved(step_key, worker, queue.good)
+        }
+        return Advice(tickets, valid)
+
+    async def _reaches(self, worker: ModelWorker, timeout: Seconds) -> bool:
+        await asyncio.sleep(_TRAVELS)
+        if asyncio.get_running_loop().time() >= worker.silent_until:
+            return True
+        await asyncio.sleep(max(0, timeout - _TRAVELS))
+        return False
+
+    def _drawn(self, key: RunKey) -> tuple[DrawnJob, int, int]:
+        job_id, _, step, index = key.task.split('.')
+        return self._find_job(job_id), int(step), int(index)
+
+    def _end(
+        self,
+        worker: ModelWorker,
+        key: RunKey,
+        ending: RunEnding,
+    ) -> None:
+        worker.end(key, ending)
+        self._where_by_task.pop(key.task, None)
+
+    def _judge(self, worker: ModelWorker, key: RunKey) -> None:
+        """Count starts that break a promise."""
+        if key.task in self._where_by_task:
+            self.doubled += 1
+        self._where_by_task[key.task] = worker.entry.worker
+        used = Size()
+        for run in (*worker.run_by_key, key):
+            job, step, _ = self._drawn(run)
+            used += job.spec.steps[step].size
+        if not used.fits(worker.entry.capacity):
+            self.overfull += 1
+
+
+def _make_entry(load: CellLoad, number: int) -> WorkerEntry:
+    name = f'w-{number}'
+    return WorkerEntry(
+        worker=WorkerId(name),
+        service=SERVICE,
+        address=Address(f'{name}:1'),
+        zone=f'zone-{number % 5}',
+        capacity=Size(load.cores * 1000, load.megabytes),
+        labels=('kind', f'rack-{number // load.rack}'),
+    )
+
+
+def _approved(step_key: str, worker: WorkerId, good: float) -> bool:
+    """Whether a worker may run a step; this never changes."""
+    digest = zlib.crc32(f'{step_key}/{worker}'.encode())
+    return digest % 1000 < good * 1000
+
+
+def _ticket_holds(ticket: str, now: Seconds) -> bool:
+    return bool(ticket) and now <= float(ticket)
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -61,7 +61,7 @@
 )
 from proving.cell import VirtualCell
 from proving.load import bundle_change
-from proving.virtual import VirtualLoop
+from standins.model.loop import VirtualLoop
 
 ROOT = pathlib.Path(__file__).parents[1]
 #: The size to design for, as the users' first letter gives it.
