Let late work wait its turn, and no question wait for good

Change: what is late goes behind what can be in time, for 15 s; one call for advice in four goes to the oldest question; a question whose step has nothing left to place is dropped.

--- a/orchidrail/shard/advice_desk.py
+++ b/orchidrail/shard/advice_desk.py
@@ -13,6 +13,7 @@
 import itertools
 import math
 from collections.abc import Awaitable, Callable
+from operator import attrgetter
 from typing import NamedTuple
 
 import structlog
@@ -27,6 +28,9 @@
 _LONG: Seconds = 0.15
 #: Most of the lanes that are ever kept from long calls, as a share.
 _MOST_KEPT = 0.4
+#: Of so many calls one goes to the question that has waited longest, so that
+#: none waits for good while more pressing ones keep coming.
+_OLDEST_EVERY = 4
 #: Time beyond the expected one after which a call is given up.
 _SLACK: Seconds = 1.0
 #: Factor on the expected time, since the service may be slow.
@@ -41,13 +45,24 @@
 ]
 
 
+def _always() -> bool:
+    return True
+
+
 class Question(NamedTuple):
-    """Which of `workers` may run the step; `rank` orders the questions."""
+    """Which of `workers` may run the step; `rank` orders the questions.
+
+    Parameters
+    ----------
+    needed : callable
+        Whether the answer would still be of use.
+    """
 
     step_key: str
     workers: list[WorkerId]
     duration: Seconds
     rank: tuple[float, ...]
+    needed: Callable[[], bool] = _always
 
 
 class _Waiting(NamedTuple):
@@ -78,6 +93,7 @@
         self._busy: set[InstanceId] = set()
         self._rests_until_by_lane: dict[InstanceId, Seconds] = {}
         self._short_calls = 0
+        self._calls = 0
         self._short_peak = FadingPeak()
         self._tasks = TaskSet('call for advice')
 
@@ -107,7 +123,7 @@
             heapq.heappush(self._waiting, waiting)
             self._deal()
             advice = await answer
-            if advice is not None:
+            if advice is not None or not question.needed():
                 return advice
         return None
 
@@ -132,18 +148,31 @@
     def _deal(self) -> None:
         postponed: list[_Waiting] = []
         while self._waiting:
-            waiting = heapq.heappop(self._waiting)
+            waiting = self._take_next()
+            if not waiting.question.needed():
+                waiting.answer.set_result(None)
+                continue
             lane = self._free_lane(waiting.question.duration)
             if lane is None:
                 postponed.append(waiting)
                 if len(postponed) > len(self._lanes):
                     break
                 continue
+            self._calls += 1
             self._busy.add(lane)
             self._tasks.spawn(self._call(lane, waiting))
         for waiting in postponed:
             heapq.heappush(self._waiting, waiting)
 
+    def _take_next(self) -> _Waiting:
+        """Take the most pressing question, now and then the oldest."""
+        if (self._calls + 1) % _OLDEST_EVERY:
+            return heapq.heappop(self._waiting)
+        oldest = min(self._waiting, key=attrgetter('number'))
+        self._waiting.remove(oldest)
+        heapq.heapify(self._waiting)
+        return oldest
+
     def _free_lane(self, duration: Seconds) -> InstanceId | None:
         now = self._clock()
         count = len(self._lanes)
--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections import defaultdict
+from functools import partial
 
 from orchidrail.shard.advice_desk import AdviceDesk, Question
 from orchidrail.shard.approvals import Approvals
@@ -115,7 +116,13 @@
         cost = step.job.queue.advice
         assert cost is not None
         duration = cost.duration(len(workers))
-        question = Question(step.key, workers, duration, rank)
+        question = Question(
+            step.key,
+            workers,
+            duration,
+            rank,
+            partial(_waits, step),
+        )
         try:
             advice = await self._desk.ask(question)
             if advice is None:
@@ -166,6 +173,11 @@
             self._runs.launch(step, chosen)
 
 
+def _waits(step: StepState) -> bool:
+    """Whether a step still has tasks to place."""
+    return bool(step.startable()) and not step.job.ended
+
+
 def _split(
     about: list[WorkerBooks],
     most_parts: int,
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -10,9 +10,12 @@
 
 Rank = tuple[float, ...]
 
-_URGENT, _IN_TIME, _LATE = 0, 1, 2
+_URGENT, _OTHER = 0, 1
 #: A step whose latest start is nearer than this takes what room there is.
 _SPARE: Seconds = 2.0
+#: How far a late step is put off: as long as a usual job of the users' sites
+#: that is not urgent has in all.
+_LATE_WAITS: Seconds = 15.0
 
 
 def longest_chain(spec: JobSpec, queue: QueueSettings) -> Seconds:
@@ -31,10 +34,15 @@
     It rests on the caller's estimates, which may be far off.
     """
     chain = longest_chain(job.spec, job.queue)
-    began = max(job.record.accepted_at, job.spec.due(round_number))
+    began = _begins_at(job, round_number)
     return began + job.queue.stretch * chain + job.queue.target
 
 
+def _begins_at(job: Job, round_number: int) -> Seconds:
+    """Return the wall clock from which a round's time counts."""
+    return max(job.record.accepted_at, job.spec.due(round_number))
+
+
 class Timing(NamedTuple):
     """By when a waiting step should start and its round should end.
 
@@ -42,14 +50,15 @@
     ----------
     latest_start, deadline : float
         Wall clock, seconds since 1970; both rest on the caller's estimates.
-    accepted_at : float
+    began : float
+        When the step's round was due, or its job accepted.
     urgent : bool
         Whether the step's queue goes before all others.
     """
 
     latest_start: Seconds
     deadline: Seconds
-    accepted_at: Seconds
+    began: Seconds
     urgent: bool
 
     def has_time(self, wall: Seconds) -> bool:
@@ -59,13 +68,16 @@
     def rank(self, wall: Seconds) -> Rank:
         """Return the rank of the step; the least goes first.
 
-        Urgent queues go first; then what can still meet its objective, by the
-        latest time at which it must start; then what is late.
+        Urgent queues go first; then the others by the latest time at which
+        they must start. What is late already, urgent or not, is put off for a
+        while: it does not starve what can be in time, but goes before what must
+        start later than that, so it is not starved for good.
         """
+        if wall > self.deadline:
+            return (_OTHER, self.deadline + _LATE_WAITS)
         if self.urgent:
-            return (_URGENT, self.accepted_at)
-        tier = _LATE if wall > self.deadline else _IN_TIME
-        return (tier, self.latest_start)
+            return (_URGENT, self.began)
+        return (_OTHER, self.latest_start)
 
 
 def time_step(step: StepState) -> Timing:
@@ -75,6 +87,6 @@
     return Timing(
         deadline - longest_chain(job.spec, job.queue),
         deadline,
-        job.record.accepted_at,
+        _begins_at(job, step.round_number),
         job.urgent,
     )
--- a/orchidrail/shard/tests/test_advice_desk.py
+++ b/orchidrail/shard/tests/test_advice_desk.py
@@ -91,3 +91,68 @@
             desk.close()
 
         self.run_async(scene())
+
+    def test_short_calls_come_first_to_as_many_lanes_as_they_need(
+        self,
+    ) -> None:
+        """A burst of urgent tasks beside wide steps with long questions."""
+
+        async def scene() -> None:
+            desk = self._desk(10)
+            for number in range(3):
+                await self._put(desk, f'short-{number}', _SHORT)
+            for number in range(3):
+                self.answers[f'short-{number}'].set_result(Advice({}, 1))
+            for number in range(10):
+                await self._put(desk, f'long-{number}', _LONG)
+            asked = [key for _, key in self.asked if key.startswith('long')]
+            self.assertEqual(7, len(asked))
+            desk.close()
+
+        self.run_async(scene())
+
+    def test_lanes_that_no_short_call_needs_are_used(self) -> None:
+        """More long questions than lanes, and hardly any short ones."""
+
+        async def scene() -> None:
+            desk = self._desk(10)
+            for number in range(20):
+                await self._put(desk, f'long-{number}', _LONG)
+            self.assertEqual(9, len(self.asked))
+            desk.close()
+
+        self.run_async(scene())
+
+    def test_a_question_is_not_put_off_for_good(self) -> None:
+        """More questions than lanes, and more pressing ones keep coming."""
+
+        async def scene() -> None:
+            desk = self._desk(1)
+            await self._put(desk, 'first', _SHORT)
+            await self._put(desk, 'late', _SHORT, rank=9)
+            for number in range(8):
+                await self._put(desk, f'urgent-{number}', _SHORT, rank=0)
+            for _ in range(5):
+                self.answers[self.asked[-1][1]].set_result(Advice({}, 1))
+                await asyncio.sleep(0.01)
+            self.assertIn('late', [key for _, key in self.asked])
+            self.assertEqual('urgent-0', self.asked[1][1])
+            desk.close()
+
+        self.run_async(scene())
+
+    def test_a_question_that_is_no_longer_needed_takes_no_lane(self) -> None:
+        async def scene() -> None:
+            desk = self._desk(1)
+            await self._put(desk, 'first', _SHORT)
+            needed = [True]
+            question = Question('done', [], _SHORT, (1,), lambda: needed[0])
+            asking = asyncio.create_task(desk.ask(question))
+            await asyncio.sleep(0.01)
+            needed[0] = False
+            self.answers['first'].set_result(Advice({}, 1))
+            self.assertIsNone(await asyncio.wait_for(asking, 1))
+            self.assertEqual(1, len(self.asked))
+            desk.close()
+
+        self.run_async(scene())
