Drop the connections to an address once one of them was silent

A call that timed out closed its own connection only; the next one took another idle one of the same pool, silent too, for up to six times. Ruled out: longer keep-alive probes: the system's own calls notice sooner. Change: a pool for each address, dropped whole after one silence; where three addresses that were just heard from fall silent at once, all that were not heard since are doubted, and the owner looks at all its workers beside the looks that wait. The owner's connection is given up after 0.4 s without an answer (0.6 s before). What is in progress on a dropped pool may still end.

--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -65,6 +65,7 @@
         self.settings = settings
         self.metrics = InstanceMetrics()
         self._caller = HttpCaller()
+        self._caller.on_several_silent = self._doubt_connections
         self._transport = TcpTransport(settings.name, _NO_KEY)
         self.me = MemberInfo(
             settings.name,
@@ -205,6 +206,11 @@
             self.metrics,
         )
 
+    def _doubt_connections(self) -> None:
+        owner = self.ownership.owner
+        if owner is not None:
+            owner.doubt_connections()
+
     def _note_store_call(self, way: str, status: int) -> None:
         self.metrics.store_calls.labels(way, status).inc()
 
--- a/orchidrail/peers/pinger.py
+++ b/orchidrail/peers/pinger.py
@@ -21,6 +21,9 @@
 _OTHERS_EVERY: Seconds = 0.25
 _OTHERS_AT_ONCE = 3
 _TIMEOUT: Seconds = 0.6
+#: The same for the owner, whose connection must not stay silent for long: it
+#: is asked each 0.1 s and answers in a few ms, in 0.1 s where it is busy.
+_OWNER_TIMEOUT: Seconds = 0.4
 #: A call that fails sooner was refused or reset: the machine is there, but
 #: not the process. Silence takes until the time-out.
 _REFUSED_WITHIN: Seconds = 0.3
@@ -100,7 +103,7 @@
         outcome = await self._transport.call(
             claim.address,
             self._describe(),
-            _TIMEOUT,
+            _OWNER_TIMEOUT,
         )
         if self._table.claim != claim:
             return
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
+import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
+import structlog
 
 from orchidrail.store.relay import RawAnswer, RawCall
+from orchidrail.tasks import TaskSet
 from orchidrail.types import Address, Seconds
 
+_log = structlog.get_logger()
 #: Connections to one address: a held one, and starts beside it.
 _PER_HOST = 6
 _CONNECT_TIMEOUT: Seconds = 0.5
@@ -19,6 +25,19 @@
 _LONGEST_ANSWER: Seconds = 4.0
 #: Idle connections are kept longer than a worker is left alone.
 _KEEP_ALIVE: Seconds = 60
+#: Body that stands for an answer which did not come in time.
+_SILENT = b'silent'
+#: Addresses that must fall silent at once for others to be doubted too.
+_SEVERAL = 3
+#: What counts as at once: looks at workers time out after 0.25 to 1.05 s.
+_AT_ONCE: Seconds = 0.5
+#: An address that was heard from so shortly before its silent call began is
+#: taken for one whose connection went silent, not for one that is down.
+_HEARD_WITHIN: Seconds = 1.5
+#: Least time between two rounds of dropping: each costs new connections.
+_DROP_ALL_EVERY: Seconds = 3.0
+#: Failures after which the call can't have got through.
+_NOT_REACHED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _JSON = {'Content-Type': 'application/json'}
 
 
@@ -29,27 +48,36 @@
 
 
 class HttpCaller:
-    """One pool of connections for all calls that go out."""
+    """Connections for all calls that go out, in a pool for each address.
 
-    def __init__(self) -> None:
+    A connection may go silent for good while new ones work. So all idle ones
+    to an address are dropped once one of them gave no answer in time; where
+    several addresses fall silent at once, also those that have not been heard
+    from since.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, clock: Callable[[], Seconds] = time.monotonic) -> None:
         """Open no connection yet; must be made inside the event loop."""
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            limit_per_host=_PER_HOST,
-            keepalive_timeout=_KEEP_ALIVE,
-            ttl_dns_cache=None,
-            socket_factory=_make_socket,
-        )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
-        )
+        self._clock = clock
+        self._pool_by_address: dict[Address, _Pool] = {}
+        self._silences: dict[Address, Seconds] = {}
+        self._all_dropped_at: Seconds = -math.inf
+        self._closing = TaskSet('closing of connections')
+        #: How often connections to an address were dropped for silence.
+        self.drops = 0
+        #: Called when several addresses went silent at once.
+        self.on_several_silent: Callable[[], None] | None = None
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        for pool in self._pool_by_address.values():
+            await pool.session.close()
+        self._pool_by_address.clear()
 
     async def call(
         self,
@@ -67,6 +95,124 @@
         The answer, with status 0 if there is none; `reached` is then False
         only if the call can't have got through.
         """
+        pool = self._pool(address)
+        pool.calls += 1
+        try:
+            answer = await pool.call(address, call, headers)
+        finally:
+            pool.calls -= 1
+            self._close_if_done(pool)
+        if answer is None:
+            self._note_silence(address, pool, call.timeout)
+            return RawAnswer(0, _SILENT)
+        if answer.status:
+            pool.heard_at = self._clock()
+        return answer
+
+    def _pool(self, address: Address) -> _Pool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = _Pool(self._clock())
+            self._pool_by_address[address] = pool
+            self._forget_unused()
+        return pool
+
+    def _forget_unused(self) -> None:
+        """Drop the pools of addresses that are gone."""
+        before = self._clock() - _KEEP_ALIVE
+        for address, pool in list(self._pool_by_address.items()):
+            if pool.heard_at < before and not pool.calls:
+                self._drop(address, pool)
+
+    def _note_silence(
+        self,
+        address: Address,
+        pool: _Pool,
+        waited: Seconds,
+    ) -> None:
+        now = self._clock()
+        if self._pool_by_address.get(address) is not pool:
+            return
+        fresh = now - pool.heard_at - waited < _HEARD_WITHIN
+        _log.info(
+            'connections dropped',
+            address=address,
+            silent_for=round(now - pool.heard_at, 3),
+            calls_in_progress=pool.calls,
+        )
+        self.drops += 1
+        self._drop(address, pool)
+        if fresh:
+            self._silences[address] = now
+            self._look_for_others(now, waited)
+
+    def _look_for_others(self, now: Seconds, waited: Seconds) -> None:
+        """Drop other silent connections if several went silent at once."""
+        self._silences = {
+            address: at
+            for address, at in self._silences.items()
+            if now - at < _AT_ONCE
+        }
+        if len(self._silences) < _SEVERAL:
+            return
+        if now - self._all_dropped_at < _DROP_ALL_EVERY:
+            return
+        self._all_dropped_at = now
+        before = now - max(waited, _AT_ONCE)
+        unheard = [
+            (address, pool)
+            for address, pool in self._pool_by_address.items()
+            if pool.heard_at < before
+        ]
+        for address, pool in unheard:
+            self._drop(address, pool)
+        self.drops += len(unheard)
+        _log.warning(
+            'several addresses silent',
+            silent=list(self._silences),
+            dropped=len(unheard),
+        )
+        if self.on_several_silent is not None:
+            self.on_several_silent()
+
+    def _drop(self, address: Address, pool: _Pool) -> None:
+        """Use new connections from now on; what is in progress may end."""
+        self._pool_by_address.pop(address, None)
+        pool.dropped = True
+        self._close_if_done(pool)
+
+    def _close_if_done(self, pool: _Pool) -> None:
+        if pool.dropped and not pool.calls and not pool.session.closed:
+            self._closing.spawn(pool.session.close())
+
+
+class _Pool:
+    """Connections to one address."""
+
+    def __init__(self, now: Seconds) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=_PER_HOST,
+            keepalive_timeout=_KEEP_ALIVE,
+            ttl_dns_cache=None,
+            socket_factory=_make_socket,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        )
+        self.calls = 0
+        self.heard_at = now
+        self.dropped = False
+
+    async def call(
+        self,
+        address: Address,
+        call: RawCall,
+        headers: dict[str, str] | None,
+    ) -> RawAnswer | None:
+        """Make one call; None if its connection stayed silent."""
         timeout = aiohttp.ClientTimeout(
             total=call.timeout + _LONGEST_ANSWER,
             connect=call.timeout,
@@ -74,7 +220,7 @@
             sock_read=call.timeout,
         )
         try:
-            async with self._session.request(
+            async with self.session.request(
                 call.method,
                 f'http://{address}{call.target}',
                 data=call.body or None,
@@ -82,9 +228,9 @@
                 timeout=timeout,
             ) as response:
                 return RawAnswer(response.status, await response.read())
-        except aiohttp.ClientConnectorError as error:
-            return RawAnswer(0, repr(error).encode(), reached=False)
-        except aiohttp.ConnectionTimeoutError as error:
+        except _NOT_REACHED as error:
             return RawAnswer(0, repr(error).encode(), reached=False)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except asyncio.TimeoutError:
+            return None
+        except (aiohttp.ClientError, OSError) as error:
             return RawAnswer(0, repr(error).encode())
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -111,6 +111,12 @@
                 self._sweep()
                 await asyncio.sleep(_READ_EVERY)
 
+    def look_soon(self) -> None:
+        """Look at all workers at once: connections to some went silent."""
+        for books in self._state.books_by_worker.values():
+            if books.session.reachable:
+                books.session.look_soon()
+
     def _meet_earlier_workers(self) -> None:
         """Look for the workers that the owner before dealt with.
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -276,6 +276,10 @@
         """Ask for advice through these machines."""
         self.desk.use_lanes(lanes)
 
+    def doubt_connections(self) -> None:
+        """Take that connections to several workers went silent at once."""
+        self._fleet.look_soon()
+
     async def _wait_known(self, job_id: JobId) -> bool | None:
         if job_key(job_id) in self.writer.view.value_by_key:
             return True
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -204,6 +204,29 @@
 
         self.play(scene)
 
+    def test_workers_are_looked_at_beside_looks_that_may_be_silent(
+        self,
+    ) -> None:
+        """All connections went silent: the look that waits tells nothing."""
+
+        async def scene(owner: ShardOwner) -> None:
+            books = owner.state.books_by_worker[make_entry().worker]
+            looks: list[Seconds] = []
+
+            async def hang(wait: Seconds) -> None:
+                looks.append(wait)
+                await asyncio.sleep(2 * _READ)
+
+            books.session._look_once = hang  # type: ignore[method-assign]
+            await asyncio.sleep(_READ / 2)
+            self.assertEqual(1, len(looks))
+            owner.doubt_connections()
+            await asyncio.sleep(_READ / 10)
+            self.assertEqual(0, looks[-1])
+            self.assertEqual(2, len(looks))
+
+        self.play(scene)
+
     def test_a_worker_whose_entry_is_gone_gets_no_new_work(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             owner._fleet._settled_at = 0
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -143,7 +143,7 @@
             # A look after the deadline tells whether the run is there.
             left = deadline - self.lease.clock_at(self._clock())
             loop = asyncio.get_running_loop()
-            loop.call_later(left + _CLOCK_SLACK, self._look_soon)
+            loop.call_later(left + _CLOCK_SLACK, self.look_soon)
         return answer, deadline
 
     async def stop(self, key: RunKey) -> OrderAnswer:
@@ -157,6 +157,14 @@
         self._take_answer(answer)
         return answer
 
+    def look_soon(self) -> None:
+        """Look beside the look that waits, to learn something at once.
+
+        The look that waits may be on a connection that went silent.
+        """
+        if not self.over and not self._looks:
+            self._looks.spawn(self._look_once(0))
+
     def end_life(self) -> None:
         """Note that this life is over."""
         if not self.over:
@@ -164,11 +172,6 @@
             self.reachable = False
             self._observer.on_life_over(self)
 
-    def _look_soon(self) -> None:
-        """Look beside the look that waits, to learn something at once."""
-        if not self.over and not self._looks:
-            self._looks.spawn(self._look_once(0))
-
     def _take_answer(self, answer: OrderAnswer) -> None:
         if answer.clock is not None:
             self.lease.observe(answer.clock, self._clock())
