Look again at a blocked step only when a worker it may use has more room

The owner's loop then lags by 0.15 to 0.3 s a second. Change: a step that found no room is passed over until its permits, its failures or the workers kept from it change, or a worker that may run it has room for one of its tasks; workers kept for large tasks are chosen each 0.1 s, not each pass; room left beside headroom is worked out once a pass; tasks that wait are listed when their job changes.

--- /dev/null
+++ b/benchmarks/passes.py
@@ -0,0 +1,169 @@
+"""What a pass of the owner that serves takes, by the size of the cell.
+
+Workers near full, 1,000 waiting tasks in steps of 20 of which a quarter of the
+workers may run each, and some ends before each pass, as on the cells of the
+users' fourth letter. Orders and the journal are left out.
+"""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import time
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+import fire
+
+from orchidrail.metrics import InstanceMetrics
+from orchidrail.shard.advice_desk import AdviceDesk
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.placer import Placer
+from orchidrail.shard.state import ShardState
+from orchidrail.types import Epoch, JobId, RunNumber, Seconds, WorkerId
+from orchidrail.work.job import Job, StepState
+from orchidrail.work.model import AdviceCost, JobSpec, Size, StepSpec
+from orchidrail.work.records import JobRecord, TaskPhase
+from orchidrail.workers.lease import RunLease
+from orchidrail.workers.port import RunKey
+from orchidrail.workers.session import WorkerSession
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+from standins.model.load import Draw, QueueLoad
+
+_QUEUE = QueueLoad(
+    name='wide', per_s=1, worth=1, priority=1, stretch=2, target=1,
+    tasks=Draw(20), cores=Draw(18), megabytes=Draw(1), work=Draw(6),
+    advice=(0.6, 0.0086, 1e6),
+)  # fmt: skip
+_WAITING_TASKS = 1000
+_STEP_TASKS = 20
+_GOOD_SHARE = 0.25
+#: Ends before each pass, and passes measured.
+_ENDS = 6
+_PASSES = 300
+_CORES = 64
+_PERCENT = 100
+
+
+class _Runs:
+    """Takes room as the tracker of runs does, and orders nothing."""
+
+    def __init__(self, state: ShardState) -> None:
+        self.placed: list[tuple[WorkerBooks, RunKey]] = []
+        self._state = state
+
+    def launch(self, step: StepState, chosen: list[Any]) -> None:
+        for task, books in chosen:
+            key = RunKey(task.key, RunNumber(1))
+            run = PlacedRun(key, step.spec.charged, task, 0, confirmed_at=0)
+            books.charge(run, step.key)
+            task.phase = TaskPhase.PLACED
+            self.placed.append((books, key))
+        self._state.changed_jobs.add(step.job.job_id)
+
+
+class _Cell:
+    def __init__(self, workers: int, random: Random) -> None:
+        self.random = random
+        writer = SimpleNamespace(
+            owner=SimpleNamespace(epoch=Epoch(1)),
+            unconfirmed_for=lambda: 0,
+        )
+        self.state = ShardState(
+            cast('Any', writer), time.monotonic, time.time, InstanceMetrics()
+        )
+        self.runs = _Runs(self.state)
+        self.placer = Placer(
+            self.state,
+            cast('Any', self.runs),
+            AdviceDesk(cast('Any', None), time.monotonic),
+        )
+        for number in range(workers):
+            self._add_worker(f'w-{number}')
+        self.jobs = 0
+
+    def _add_worker(self, name: str) -> None:
+        session = WorkerSession(
+            make_entry(name, _CORES), FakeWorker(), Epoch(1), RunLease(6, 0),
+            cast('Any', None), time.monotonic, lambda: True,
+        )  # fmt: skip
+        session.reachable = True
+        self.state.books_by_worker[session.worker] = WorkerBooks(session)
+
+    def add_job(self) -> None:
+        """Add a step about all of whose workers the service was asked."""
+        self.jobs += 1
+        cores = self.random.randint(10, 26)
+        step = StepSpec(_STEP_TASKS, Size(cores * 1000, 1), estimate=6)
+        queue = _QUEUE.settings
+        if self.jobs % 8 == 0:
+            queue = type(queue)(
+                *(getattr(queue, name) for name in queue.__struct_fields__[:4]),
+                0, 3, 1.5, 0.25, 0, AdviceCost(0.016, 0.0002, 1e6),
+            )  # fmt: skip
+        record = JobRecord(queue, JobSpec('', (step,)), time.time())
+        job = Job(JobId(f'{self.jobs:016x}'), record)
+        waiting = next(job.open_steps(0))
+        every = list(self.state.books_by_worker)
+        good = self.random.sample(every, max(1, int(_GOOD_SHARE * len(every))))
+        tickets = {WorkerId(worker): 't' for worker in good}
+        waiting.permits.learn(every, tickets, time.monotonic() + 1e6)
+        self.state.job_by_id[job.job_id] = job
+        self.state.changed_jobs.add(job.job_id)
+
+    def end_some(self) -> None:
+        """End some runs, the oldest of them somewhere at random."""
+        for _ in range(min(_ENDS, len(self.runs.placed))):
+            index = self.random.randrange(len(self.runs.placed))
+            books, key = self.runs.placed.pop(index)
+            run = books.release(key)
+            assert run is not None
+            assert run.task is not None
+            run.task.phase = TaskPhase.DONE
+            job = run.task.step.job
+            self.state.changed_jobs.add(job.job_id)
+            if run.task.step.done:
+                self.state.job_by_id.pop(job.job_id)
+
+
+def measure(workers: int) -> dict[str, float]:
+    """Return what passes take at a size, in microseconds and milliseconds."""
+    cell = _Cell(workers, Random(1))
+    while True:
+        while cell.placer.waiting_tasks() < _WAITING_TASKS:
+            cell.add_job()
+            cell.placer._refresh()
+        before = len(cell.runs.placed)
+        cell.placer.place_all()
+        if len(cell.runs.placed) == before:
+            break
+    passes: list[Seconds] = []
+    placed = 0
+    gc.collect()
+    for _ in range(_PASSES):
+        cell.end_some()
+        while cell.placer.waiting_tasks() < _WAITING_TASKS:
+            cell.add_job()
+            cell.placer._refresh()
+        before = len(cell.runs.placed)
+        began = time.process_time()
+        cell.placer.place_all()
+        passes.append(time.process_time() - began)
+        placed += len(cell.runs.placed) - before
+    return {
+        'pass_mean_ms': 1000 * statistics.fmean(passes),
+        'pass_p99_ms': 1000 * statistics.quantiles(passes, n=_PERCENT)[-1],
+        'task_mean_us': 1e6 * sum(passes) / max(1, placed),
+    }
+
+
+def main(*sizes: int) -> None:
+    """Print a row for each size of cell."""
+    for workers in sizes or (24, 270, 1400):
+        row = measure(workers)
+        print(workers, {name: round(value, 2) for name, value in row.items()})
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -38,7 +38,7 @@
     def __init__(self, open_books: list[WorkerBooks]) -> None:
         """Sort the workers by what is free now."""
         self._by_worker = {books.worker: books for books in open_books}
-        self._kept: set[WorkerId] = set()
+        self._kept: frozenset[WorkerId] = frozenset()
         self._suitable_by_need: dict[
             tuple[ServiceName, str],
             list[WorkerBooks],
@@ -56,7 +56,12 @@
 
     def keep(self, workers: set[WorkerId]) -> None:
         """Keep workers from the steps that come after."""
-        self._kept.update(workers)
+        self._kept |= workers
+
+    @property
+    def kept(self) -> frozenset[WorkerId]:
+        """The workers that are kept from the steps to come."""
+        return self._kept
 
     def of_service(self, service: ServiceName) -> list[WorkerBooks]:
         """Return all open workers of a service, also those that are kept."""
@@ -79,6 +84,8 @@
     def unknown(self, step: StepState) -> list[WorkerBooks]:
         """Return the workers of which the service has not been asked yet."""
         unknown = self._by_worker.keys() - step.permits.known
+        if not unknown:
+            return []
         return self._suitable(step, [self._by_worker[one] for one in unknown])
 
     def with_room(self, step: StepState) -> list[WorkerBooks]:
--- /dev/null
+++ b/orchidrail/shard/passes.py
@@ -0,0 +1,199 @@
+"""One pass over the waiting steps, and what it tells the next one."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.earmarks import (
+    choose_earmarks,
+    crowded,
+    needs_earmarks,
+)
+from orchidrail.shard.headroom import Headroom
+from orchidrail.shard.open_workers import OpenWorkers
+from orchidrail.shard.ranking import Timing
+from orchidrail.types import JobId, Seconds, ServiceName, WorkerId
+from orchidrail.work.job import StepState, Task
+from orchidrail.work.model import Size
+from orchidrail.work.waits import WaitReason
+
+#: Steps that wait with room kept free for them, most urgent first.
+_EARMARKS = 2
+#: For how long the workers chosen for a step are kept: runs end on a cell of
+#: hundreds of workers each few ms, and each choice looks at all that run.
+_EARMARKED_FOR: Seconds = 0.1
+
+
+class _Blocked(NamedTuple):
+    """Under what a step found no room: while it holds, there is none."""
+
+    known: int
+    good: int
+    failed_on: int
+    asking: int
+    #: Workers that were kept from the step.
+    kept: frozenset[WorkerId]
+
+
+class WaitingStep:
+    """A step with tasks whose turn has come.
+
+    A cell near its limit has many steps that wait for room, and in each pass
+    few workers that have more room than before. A step that found none is
+    looked at again only when one of the workers that may run it has more, or
+    when something else has changed for it.
+    """
+
+    def __init__(
+        self,
+        timing: Timing,
+        step: StepState,
+        tasks: list[Task],
+    ) -> None:
+        """Start with a step that was not looked at yet."""
+        self.timing = timing
+        self.step = step
+        self.tasks = tasks
+        self._blocked: _Blocked | None = None
+        self._earmarked: set[WorkerId] = set()
+        self._earmarked_until: Seconds = 0
+
+    def blocked(self, this_pass: Pass) -> bool:
+        """Whether it is known that the step finds no room now."""
+        if self._blocked is None:
+            return False
+        if self._blocked != self._standing(this_pass):
+            return False
+        size = self.step.spec.charged
+        advised = self.step.job.queue.advice is not None
+        good = self.step.permits.good
+        return not any(
+            size.fits(books.free)
+            for books in this_pass.grown
+            if not advised or books.worker in good
+        )
+
+    def note_no_room(self, this_pass: Pass) -> None:
+        """Take that none of the step's tasks found room."""
+        # What keeps workers must do so in each pass.
+        if not this_pass.needs_earmarks(self.step):
+            self._blocked = self._standing(this_pass)
+
+    def choose_earmarks(self, missing: int, this_pass: Pass) -> set[WorkerId]:
+        """Return the workers to keep for the step, chosen now and then."""
+        if this_pass.now >= self._earmarked_until:
+            candidates = this_pass.workers.good_for(self.step)
+            self._earmarked = choose_earmarks(
+                self.step,
+                missing,
+                candidates,
+                this_pass.now,
+            )
+            self._earmarked_until = this_pass.now + _EARMARKED_FOR
+        return self._earmarked
+
+    def _standing(self, this_pass: Pass) -> _Blocked:
+        permits = self.step.permits
+        return _Blocked(
+            len(permits.known),
+            len(permits.good),
+            len(self.step.failed_on),
+            permits.asking,
+            this_pass.workers.kept,
+        )
+
+
+class Rooms:
+    """What was free on each worker at the end of the last pass."""
+
+    def __init__(self) -> None:
+        """Know of no worker."""
+        self._free_by_worker: dict[WorkerId, Size] = {}
+
+    def grown(self, open_books: list[WorkerBooks]) -> list[WorkerBooks]:
+        """Return the workers that have more room than then, or are new."""
+        before = self._free_by_worker
+        return [
+            books
+            for books in open_books
+            if books.worker not in before
+            or not books.free.fits(before[books.worker])
+        ]
+
+    def note(self, open_books: list[WorkerBooks]) -> None:
+        """Take that a pass has ended."""
+        self._free_by_worker = {
+            books.worker: books.free for books in open_books
+        }
+
+
+class Pass:
+    """What one pass over the waiting steps has left and found out."""
+
+    def __init__(
+        self,
+        open_books: list[WorkerBooks],
+        now: Seconds,
+        wall: Seconds,
+        headroom: Headroom,
+        grown: list[WorkerBooks],
+    ) -> None:
+        """Start with all open workers."""
+        self.grown = grown
+        self.now = now
+        self.wall = wall
+        self.workers = OpenWorkers(open_books)
+        self.reason_by_job: dict[JobId, WaitReason] = {}
+        self._headroom = headroom
+        self._left_by_need: dict[tuple[ServiceName, str], int] = {}
+        self._crowded_by_service: dict[ServiceName, bool] = {}
+        self._earmarks = 0
+
+    def left_for_others(self, step: StepState) -> int:
+        """Return the millicores that are not kept for urgent work."""
+        need = step.job.queue.service, step.spec.label
+        left = self._left_by_need.get(need)
+        if left is None:
+            of_kind = self.workers.of_kind(step)
+            left = self._headroom.left_for_others(need[0], of_kind)
+            self._left_by_need[need] = left
+        return left
+
+    def note_placed(self, step: StepState, tasks: int) -> None:
+        """Take that some tasks of a step have found room.
+
+        Urgent work takes from the room that is kept for it.
+        """
+        if step.job.urgent:
+            return
+        taken = tasks * step.spec.charged.millicores
+        for need in self._left_by_need:
+            if need[0] == step.job.queue.service:
+                self._left_by_need[need] -= taken
+
+    def earmark(self, waiting: WaitingStep, missing: int) -> None:
+        """Keep workers for what a step still misses, if room is scarce."""
+        if missing <= 0 or self._earmarks >= _EARMARKS:
+            return
+        if not self._crowded(waiting.step.job.queue.service):
+            return
+        if not self.needs_earmarks(waiting.step):
+            return
+        kept = waiting.choose_earmarks(missing, self)
+        if kept:
+            self._earmarks += 1
+            self.workers.keep(kept)
+
+    def needs_earmarks(self, step: StepState) -> bool:
+        """Whether a step's tasks can't be fitted in one by one."""
+        service = step.job.queue.service
+        copies = self.workers.most_copies(step.spec, service)
+        return needs_earmarks(step.spec, copies)
+
+    def _crowded(self, service: ServiceName) -> bool:
+        found = self._crowded_by_service.get(service)
+        if found is None:
+            found = crowded(self.workers.of_service(service))
+            self._crowded_by_service[service] = found
+        return found
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -11,19 +11,14 @@
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.due_times import DueTimes
-from orchidrail.shard.earmarks import (
-    choose_earmarks,
-    crowded,
-    needs_earmarks,
-)
 from orchidrail.shard.headroom import Headroom
-from orchidrail.shard.open_workers import OpenWorkers
+from orchidrail.shard.passes import Pass, Rooms, WaitingStep
 from orchidrail.shard.placing import Placement, choose_workers
 from orchidrail.shard.questions import TICKET_MARGIN, Questions
-from orchidrail.shard.ranking import Rank, Timing, time_step
+from orchidrail.shard.ranking import Rank, time_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
-from orchidrail.types import JobId, Seconds, ServiceName
+from orchidrail.types import JobId, Seconds
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.waits import WaitReason
 
@@ -33,8 +28,6 @@
 _PACE: Seconds = 0.004
 #: Passes come at least this often, for times that fall due.
 _LOOK_EVERY: Seconds = 0.1
-#: Steps that wait with room kept free for them, most urgent first.
-_EARMARKS = 2
 _REPORT_EVERY: Seconds = 1.0
 #: Silence of the journal after which nothing is placed: a start waits for it,
 #: and tickets run out meanwhile. It answers in 8 ms, in 0.3 s where it is slow.
@@ -42,64 +35,6 @@
 _MILLIS = 1000
 
 
-class _Pass:
-    """What one pass over the waiting steps has left and found out."""
-
-    def __init__(
-        self,
-        open_books: list[WorkerBooks],
-        now: Seconds,
-        wall: Seconds,
-        headroom: Headroom,
-    ) -> None:
-        """Start with all open workers."""
-        self.now = now
-        self.wall = wall
-        self.workers = OpenWorkers(open_books)
-        self.reason_by_job: dict[JobId, WaitReason] = {}
-        self._headroom = headroom
-        self._left_by_need: dict[tuple[ServiceName, str], int] = {}
-        self._crowded_by_service: dict[ServiceName, bool] = {}
-        self._earmarks = 0
-
-    def left_for_others(self, step: StepState) -> int:
-        """Return the millicores that are not kept for urgent work."""
-        need = step.job.queue.service, step.spec.label
-        left = self._left_by_need.get(need)
-        if left is None:
-            of_kind = self.workers.of_kind(step)
-            left = self._headroom.left_for_others(need[0], of_kind)
-            self._left_by_need[need] = left
-        return left
-
-    def note_placed(self) -> None:
-        """Take that there is less room than before."""
-        self._left_by_need.clear()
-
-    def earmark(self, step: StepState, missing: int) -> None:
-        """Keep workers for what a step still misses, if room is scarce."""
-        if missing <= 0 or self._earmarks >= _EARMARKS:
-            return
-        service = step.job.queue.service
-        if not self._crowded(service):
-            return
-        copies = self.workers.most_copies(step.spec, service)
-        if not needs_earmarks(step.spec, copies):
-            return
-        candidates = self.workers.good_for(step)
-        kept = choose_earmarks(step, missing, candidates, self.now)
-        if kept:
-            self._earmarks += 1
-            self.workers.keep(kept)
-
-    def _crowded(self, service: ServiceName) -> bool:
-        found = self._crowded_by_service.get(service)
-        if found is None:
-            found = crowded(self.workers.of_service(service))
-            self._crowded_by_service[service] = found
-        return found
-
-
 class Placer:
     """Places the shard's waiting tasks.
 
@@ -123,7 +58,8 @@
         self._questions = Questions(state, runs, desk)
         self._headroom = Headroom()
         #: Steps with tasks whose turn has come, of all open jobs.
-        self._waiting_by_job: dict[JobId, list[tuple[Timing, StepState]]] = {}
+        self._waiting_by_job: dict[JobId, list[WaitingStep]] = {}
+        self._rooms = Rooms()
         self._due_times = DueTimes()
 
     async def run(self) -> None:
@@ -153,44 +89,39 @@
         if self._waits_for_journal(now):
             return
         ranked = [
-            (timing.rank(wall), timing, step)
+            (waiting.timing.rank(wall), waiting)
             for steps in self._waiting_by_job.values()
-            for timing, step in steps
+            for waiting in steps
         ]
         ranked.sort(key=itemgetter(0))
         books_by_worker = self._state.books_by_worker
         open_books = [one for one in books_by_worker.values() if one.open(now)]
         self._headroom.note(open_books, now)
-        this_pass = _Pass(open_books, now, wall, self._headroom)
-        for rank, timing, step in ranked:
-            tasks = step.startable()
-            if not tasks:
-                continue
-            allowed = tasks
-            if timing.has_time(wall):
-                allowed = _leave_headroom(step, tasks, this_pass)
-            self._look_at(rank, step, tasks, allowed, this_pass)
+        grown = self._rooms.grown(open_books)
+        this_pass = Pass(open_books, now, wall, self._headroom, grown)
+        for rank, waiting in ranked:
+            self._look_at(rank, waiting, this_pass)
+        self._rooms.note(open_books)
         self._note_waits(this_pass.reason_by_job, now)
 
     def _look_at(
         self,
         rank: Rank,
-        step: StepState,
-        tasks: list[Task],
-        allowed: list[Task],
-        this_pass: _Pass,
+        waiting: WaitingStep,
+        this_pass: Pass,
     ) -> None:
-        """Place what a step may start, or say what it waits for.
-
-        Parameters
-        ----------
-        allowed : list of Task
-            Those of its waiting `tasks` that need not leave room for others.
-        """
-        if allowed:
-            self._place_step(rank, step, allowed, this_pass)
-        if step.startable():
-            held_back = len(allowed) < len(tasks)
+        """Place what a step may start, or say what it waits for."""
+        step = waiting.step
+        allowed = waiting.tasks
+        if waiting.timing.has_time(this_pass.wall):
+            allowed = _leave_headroom(step, allowed, this_pass)
+        placed = 0
+        if allowed and not waiting.blocked(this_pass):
+            placed = self._place_step(rank, waiting, allowed, this_pass)
+            if not placed:
+                waiting.note_no_room(this_pass)
+        if placed < len(waiting.tasks):
+            held_back = len(allowed) < len(waiting.tasks)
             this_pass.reason_by_job[step.job.job_id] = (
                 WaitReason.HEADROOM if held_back else _reason(step, this_pass)
             )
@@ -215,9 +146,9 @@
     def waiting_tasks(self) -> int:
         """Return how many tasks wait whose turn has come."""
         return sum(
-            len(step.startable())
+            len(waiting.step.startable())
             for steps in self._waiting_by_job.values()
-            for _, step in steps
+            for waiting in steps
         )
 
     async def report(self) -> None:
@@ -229,10 +160,10 @@
             self._note_lost_workers()
             every = list(state.books_by_worker.values())
             steps = [
-                step
-                for waiting in self._waiting_by_job.values()
-                for _, step in waiting
-                if step.startable()
+                waiting.step
+                for of_job in self._waiting_by_job.values()
+                for waiting in of_job
+                if waiting.step.startable()
             ]
             waiting_tasks = self.waiting_tasks()
             self._gauge(every, now, waiting_tasks)
@@ -278,10 +209,13 @@
                 self._waiting_by_job.pop(job_id, None)
                 self._due_times.forget(job_id)
                 continue
+            startable = (
+                (step, step.startable()) for step in job.open_steps(wall)
+            )
             self._waiting_by_job[job_id] = [
-                (time_step(step), step)
-                for step in job.open_steps(wall)
-                if step.startable()
+                WaitingStep(time_step(step), step, tasks)
+                for step, tasks in startable
+                if tasks
             ]
             self._due_times.note(job, wall)
         self._state.changed_jobs.clear()
@@ -289,17 +223,23 @@
     def _place_step(
         self,
         rank: Rank,
-        step: StepState,
+        waiting: WaitingStep,
         tasks: list[Task],
-        this_pass: _Pass,
-    ) -> None:
-        """Place a step, ask for advice that it lacks, keep room for it."""
+        this_pass: Pass,
+    ) -> int:
+        """Place a step, ask for advice that it lacks, keep room for it.
+
+        Returns
+        -------
+        How many of its tasks found room.
+        """
+        step = waiting.step
         with_room = this_pass.workers.with_room(step)
         chosen = choose_workers(step, tasks, with_room) if with_room else []
         missing = len(tasks) - len(chosen)
         advised = step.job.queue.advice is not None
         if chosen:
-            this_pass.note_placed()
+            this_pass.note_placed(step, len(chosen))
             if advised:
                 self._launch_or_renew(rank, step, chosen, this_pass.now)
             else:
@@ -307,7 +247,8 @@
         if missing and advised and not step.permits.asking:
             unknown = this_pass.workers.unknown(step)
             self._questions.ask_for_more(rank, step, missing, unknown)
-        this_pass.earmark(step, missing)
+        this_pass.earmark(waiting, missing)
+        return len(chosen)
 
     def _launch_or_renew(
         self,
@@ -335,7 +276,7 @@
 def _leave_headroom(
     step: StepState,
     tasks: list[Task],
-    this_pass: _Pass,
+    this_pass: Pass,
 ) -> list[Task]:
     """Return the tasks that may start beside urgent work to come."""
     size = step.spec.charged.millicores
@@ -347,7 +288,7 @@
     return [] if step.spec.gang else tasks[: max(0, left // size)]
 
 
-def _reason(step: StepState, this_pass: _Pass) -> WaitReason:
+def _reason(step: StepState, this_pass: Pass) -> WaitReason:
     """Return what the tasks of a step that were not placed wait for."""
     if this_pass.workers.has_good(step):
         return WaitReason.ROOM
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -347,6 +347,7 @@
         if task is not None and unlogged:
             task.step.job.place(task, active.key.run, books.worker)
             self._state.save(task.step.job)
+            self._state.changed_jobs.add(task.step.job.job_id)
         return run
 
     def _end(
