--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -197,6 +197,48 @@
 
         self.play(scene)
 
+    def test_a_backlog_asks_for_no_more_than_the_lanes_can_take(self) -> None:
+        """After a loss of power, hundreds of steps wait for advice at once."""
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            lanes = [InstanceId(f'l-{lane}') for lane in range(4)]
+            shard.desk.use_lanes(lanes)
+            spec = StepSpec(2, Size(20_000, 1))
+            for number in range(40):
+                shard.add(_make_job(f'{number:016x}', spec, 1, advice=True))
+            await asyncio.sleep(_SOON)
+            load = shard.desk.load()
+            self.assertLessEqual(load['questions'], len(lanes) + 1)
+            urgent = _make_job('f' * 16, spec, 0, advice=True)
+            shard.add(urgent)
+            await asyncio.sleep(_SOON)
+            self.assertEqual(1, urgent.steps(0)[0].permits.asking)
+
+        self.play(scene)
+
+    def test_a_blocked_step_is_placed_when_a_worker_has_room(self) -> None:
+        """Hundreds of steps wait, and few workers have more room each time."""
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            full = _make_job('a' * 16, StepSpec(1, Size(60_000, 1)), 1, False)
+            blocked = _make_job('b' * 16, StepSpec(1, Size(9_000, 1)), 1, False)
+            shard.add(full)
+            await asyncio.sleep(_SOON)
+            shard.add(blocked)
+            await asyncio.sleep(_SOON)
+            task = blocked.steps(0)[0].tasks[0]
+            self.assertIs(TaskPhase.WAITING, task.phase)
+            books = next(iter(shard.state.books_by_worker.values()))
+            for key in list(books.run_by_key):
+                books.release(key)
+            shard.state.wanted.set()
+            await asyncio.sleep(_SOON)
+            self.assertIs(TaskPhase.PLACED, task.phase)
+
+        self.play(scene)
+
     def test_nothing_is_placed_while_the_journal_is_silent(self) -> None:
         async def scene(shard: _Scene) -> None:
             await shard.add_worker('w-1')
--- /dev/null
+++ b/standins/tests/test_model.py
@@ -0,0 +1,98 @@
+"""Loads that broke a large cell, played in virtual time without a network.
+
+The figures are those of the users' fourth letter (270 workers, 97 machines to
+ask through, questions of 0.6 s and more), brought down to what a test can play.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from testtools import TestCase
+
+from standins.model import CellLoad, CellModel, Outcome, QueueLoad, Surge
+from standins.model.load import Draw, Outage
+
+_URGENT = QueueLoad(
+    name='urgent',
+    per_s=6,
+    worth=1,
+    priority=0,
+    stretch=1.5,
+    target=0.25,
+    tasks=Draw(3, 0.8, 12),
+    cores=Draw(16, 0.45, 47),
+    megabytes=Draw(8000),
+    work=Draw(0.8, 0.5, 2),
+    estimate_off=0.5,
+    advice=(0.016, 0.00023, 1.5),
+    good=0.7,
+)
+_WIDE = QueueLoad(
+    name='wide',
+    per_s=0.3,
+    worth=9,
+    priority=1,
+    stretch=2.2,
+    target=1,
+    tasks=Draw(20, 0.8, 60),
+    cores=Draw(18, 0.4, 30),
+    megabytes=Draw(8000),
+    work=Draw(6.2, 0.5, 16),
+    fails=0.05,
+    estimate_off=0.5,
+    advice=(0.6, 0.0086, 1.5),
+    good=0.25,
+)
+_CELL = CellLoad([_URGENT, _WIDE], workers=40, lanes=14, lasts=15)
+
+
+def _play(load: CellLoad, seed: int = 1) -> Outcome:
+    return CellModel(load, seed).play()
+
+
+class ModelTest(TestCase):
+    def test_a_day_repeats_for_its_seed(self) -> None:
+        load = msgspec.structs.replace(_CELL, lasts=4)
+        first, again = _play(load), _play(load)
+        self.assertEqual(
+            first._replace(processor_s=0),
+            again._replace(processor_s=0),
+        )
+
+    def test_no_promise_is_broken_beside_silent_workers(self) -> None:
+        load = msgspec.structs.replace(
+            _CELL,
+            outages=[Outage(at=4, lasts=3, share=0.2)],
+        )
+        outcome = _play(load)
+        self.assertEqual((0, 0), (outcome.overfull, outcome.doubled))
+
+
+class LargeCellTest(TestCase):
+    def test_wide_steps_and_urgent_tasks_share_a_cell_near_its_limit(
+        self,
+    ) -> None:
+        """Wide steps whose permitted workers are full, with room elsewhere."""
+        outcome = _play(_CELL)
+        self.assertGreater(outcome.by_queue['urgent'].worth, 0.95)
+        self.assertGreater(outcome.by_queue['wide'].worth, 0.8)
+
+    def test_a_burst_of_urgent_tasks_meets_a_cell_filled_by_long_work(
+        self,
+    ) -> None:
+        load = msgspec.structs.replace(
+            _CELL,
+            surges=[Surge('urgent', 6, 4, 2)],
+        )
+        outcome = _play(load)
+        self.assertGreater(outcome.by_queue['urgent'].worth, 0.9)
+
+    def test_late_work_does_not_starve_what_can_be_in_time(self) -> None:
+        """Far more work than room: what is in time must stay in time."""
+        load = msgspec.structs.replace(
+            _CELL,
+            surges=[Surge('wide', 0, 15, 3)],
+        )
+        outcome = _play(load)
+        self.assertGreater(outcome.by_queue['urgent'].worth, 0.9)
+        self.assertGreater(outcome.by_queue['wide'].worth, 0.25)
