--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -24,7 +24,7 @@
 from orchidrail.peers.pinger import Pinger
 from orchidrail.peers.table import PeerTable
 from orchidrail.platform import documents
-from orchidrail.platform.http_calls import HttpCaller
+from orchidrail.platform.http_calls import DropReason, HttpCaller
 from orchidrail.platform.store_log import (
     JOURNAL_NAME,
     MEMBER_TOPIC,
@@ -66,6 +66,7 @@
         self.metrics = InstanceMetrics()
         self._caller = HttpCaller()
         self._caller.on_several_silent = self._doubt_connections
+        self._caller.on_drop = self._note_drop
         self._transport = TcpTransport(settings.name, _NO_KEY)
         self.me = MemberInfo(
             settings.name,
@@ -212,6 +213,9 @@
         if owner is not None:
             owner.doubt_connections()
 
+    def _note_drop(self, reason: DropReason) -> None:
+        self.metrics.connections_dropped.labels(reason.value).inc()
+
     def _note_store_call(self, way: str, status: int) -> None:
         self.metrics.store_calls.labels(way, status).inc()
 
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -203,6 +203,12 @@
             'way',
             'status',
         )
+        self.connections_dropped = self._count(
+            'connections_dropped',
+            'Pools of connections dropped because one of them was silent, '
+            'by whether that one was the own or another one.',
+            'reason',
+        )
         self.accepting = self._time(
             'accepting_seconds',
             'From a submission to its answer, by queue.',
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import aiohttp
@@ -47,6 +48,19 @@
     return made
 
 
+class DropReason(Enum):
+    """Why the open connections to an address are used no longer."""
+
+    #: A call on one of them got no answer in time.
+    SILENT = 'silent'
+    #: Several other addresses went silent at once.
+    OTHERS_SILENT = 'othersSilent'
+    #: A call was made again beside one that is silent so far.
+    DOUBTED = 'doubted'
+    #: Nothing was heard from the address for long.
+    UNUSED = 'unused'
+
+
 class HttpCaller:
     """Connections for all calls that go out, in a pool for each address.
 
@@ -68,8 +82,8 @@
         self._silences: dict[Address, Seconds] = {}
         self._all_dropped_at: Seconds = -math.inf
         self._closing = TaskSet('closing of connections')
-        #: How often connections to an address were dropped for silence.
-        self.drops = 0
+        #: Told why connections to an address were dropped.
+        self.on_drop: Callable[[DropReason], None] | None = None
         #: Called when several addresses went silent at once.
         self.on_several_silent: Callable[[], None] | None = None
 
@@ -96,7 +110,8 @@
         only if the call can't have got through.
         """
         if call.fresh and address in self._pool_by_address:
-            self._drop(address, self._pool_by_address[address])
+            pool = self._pool_by_address[address]
+            self._drop(address, pool, DropReason.DOUBTED)
         pool = self._pool(address)
         pool.calls += 1
         try:
@@ -124,7 +139,7 @@
         before = self._clock() - _KEEP_ALIVE
         for address, pool in list(self._pool_by_address.items()):
             if pool.heard_at < before and not pool.calls:
-                self._drop(address, pool)
+                self._drop(address, pool, DropReason.UNUSED)
 
     def _note_silence(
         self,
@@ -142,8 +157,7 @@
             silent_for=round(now - pool.heard_at, 3),
             calls_in_progress=pool.calls,
         )
-        self.drops += 1
-        self._drop(address, pool)
+        self._drop(address, pool, DropReason.SILENT)
         if fresh:
             self._silences[address] = now
             self._look_for_others(now, waited)
@@ -167,8 +181,7 @@
             if pool.heard_at < before
         ]
         for address, pool in unheard:
-            self._drop(address, pool)
-        self.drops += len(unheard)
+            self._drop(address, pool, DropReason.OTHERS_SILENT)
         _log.warning(
             'several addresses silent',
             silent=list(self._silences),
@@ -177,8 +190,15 @@
         if self.on_several_silent is not None:
             self.on_several_silent()
 
-    def _drop(self, address: Address, pool: _Pool) -> None:
+    def _drop(
+        self,
+        address: Address,
+        pool: _Pool,
+        reason: DropReason,
+    ) -> None:
         """Use new connections from now on; what is in progress may end."""
+        if self.on_drop is not None:
+            self.on_drop(reason)
         self._pool_by_address.pop(address, None)
         pool.dropped = True
         self._close_if_done(pool)
--- a/orchidrail/platform/tests/test_http_calls.py
+++ b/orchidrail/platform/tests/test_http_calls.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
-from orchidrail.platform.http_calls import HttpCaller
+from orchidrail.platform.http_calls import DropReason, HttpCaller
 from orchidrail.store.relay import RawAnswer, RawCall
 from orchidrail.testing import AsyncTestCase
 from orchidrail.types import Address
@@ -121,6 +121,8 @@
 
         async def scene() -> None:
             caller = HttpCaller()
+            dropped: list[DropReason] = []
+            caller.on_drop = dropped.append
             call = RawCall('GET', '/x', timeout=_TIMEOUT)
             async with _silencing_server() as server:
                 address = server.address
@@ -137,7 +139,7 @@
             self.assertTrue(silent.reached)
             self.assertEqual({200}, {answer.status for answer in answers})
             self.assertLess(took, 2 * _TIMEOUT)
-            self.assertEqual(1, caller.drops)
+            self.assertEqual([DropReason.SILENT], dropped)
 
         self.run_async(scene())
 
