--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -29,13 +29,17 @@
     earned_share,
     judge_queues,
 )
-from standins.model.load import CellLoad, DrawnJob, draw_jobs
+from standins.model.liveness import LivenessWatch
+from standins.model.load import (
+    TRAFFIC_BEGINS,
+    CellLoad,
+    DrawnJob,
+    draw_jobs,
+)
 from standins.model.loop import run_in_virtual_time
 from standins.model.workers import ModelWorkers
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
-#: Wall clock at the start of a day, seconds since 1970.
-_DAY_BEGINS: Seconds = 1_800_000_000
 #: The owner meets its workers before the traffic starts.
 _LEAD: Seconds = 3
 #: Time after the traffic in which jobs may still end.
@@ -76,6 +80,7 @@
             self._drawn_by_id.__getitem__,
         )
         self._ended_by_id: dict[str, EndedJob] = {}
+        self.liveness = LivenessWatch()
         self._busy: list[float] = []
         self._idle_waiting: list[float] = []
 
@@ -96,6 +101,7 @@
                 owner.run(),
                 self._sample(owner),
                 self._watch(owner),
+                self._watch_liveness(owner),
                 self._harm(),
             )
             for work in works:
@@ -162,6 +168,12 @@
                 self._ended_by_id[job_id] = ended
             running = dict(live)
 
+    async def _watch_liveness(self, owner: ShardOwner) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_SAMPLE_EVERY)
+            self.liveness.look(owner, loop.time(), _wall_clock())
+
     async def _sample(self, owner: ShardOwner) -> None:
         await asyncio.sleep(_LEAD)
         for _ in range(int(self._load.lasts / _SAMPLE_EVERY)):
@@ -200,4 +212,4 @@
 
 
 def _wall_clock() -> Seconds:
-    return _DAY_BEGINS + asyncio.get_running_loop().time()
+    return TRAFFIC_BEGINS + asyncio.get_running_loop().time() - _LEAD
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -20,6 +20,8 @@
 )
 
 SERVICE = ServiceName('service')
+#: Wall clock at the start of a day's traffic, seconds since 1970.
+TRAFFIC_BEGINS: Seconds = 1_800_000_000
 _MILLI = 1000
 #: Most that a job counts, as a multiple of its queue's mean worth.
 _MOST_WORTH = 4
@@ -71,6 +73,8 @@
         own.
     good : float
         Share of the workers that may run a step, where advice has a cost.
+    rounds, every : int, float
+        Rounds of timed jobs, and seconds between them; 0 for other jobs.
     """
 
     name: str
@@ -91,6 +95,8 @@
     advice: tuple[Seconds, Seconds, Seconds] | None = None
     good: float = 1
     attempts: int = 3
+    rounds: int = 0
+    every: Seconds = 0
 
     @property
     def settings(self) -> QueueSettings:
@@ -214,12 +220,20 @@
     base, each, _ = queue.advice or (0, 0, 0)
     advice = base + each * _ADVICE_ALLOWED
     chain = sum(max(takes) + advice for takes in work)
+    first = now + queue.every if queue.rounds else 0
+    spec = JobSpec(
+        'text',
+        tuple(steps),
+        queue.rounds,
+        TRAFFIC_BEGINS + first,
+        queue.every,
+    )
     return DrawnJob(
         queue,
         now,
-        JobSpec('text', tuple(steps)),
+        spec,
         work,
-        queue.stretch * chain + queue.target,
+        queue.stretch * chain + queue.target + queue.rounds * queue.every,
         _worth(queue, steps, work),
     )
 
