Pass over no step that something else than room may help

Change: such steps are looked at in each pass; every step again after 0.5 s. Tests: two in test_placer, both failed before.

--- a/orchidrail/shard/passes.py
+++ b/orchidrail/shard/passes.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.books import TaskRole, WorkerBooks, role_of
 from orchidrail.shard.earmarks import (
     choose_earmarks,
     crowded,
@@ -23,6 +23,9 @@
 #: For how long the workers chosen for a step are kept: runs end on a cell of
 #: hundreds of workers each few ms, and each choice looks at all that run.
 _EARMARKED_FOR: Seconds = 0.1
+#: Longest time for which a step is passed over: a bound on the harm of a change
+#: that nobody thought of, a sixth of the time that work may stand still.
+_BLOCKED_FOR: Seconds = 0.5
 
 
 class _Blocked(NamedTuple):
@@ -30,7 +33,6 @@
 
     known: int
     good: int
-    failed_on: int
     asking: int
     #: Workers that were kept from the step.
     kept: frozenset[WorkerId]
@@ -56,12 +58,13 @@
         self.step = step
         self.tasks = tasks
         self._blocked: _Blocked | None = None
+        self._blocked_until: Seconds = 0
         self._earmarked: set[WorkerId] = set()
         self._earmarked_until: Seconds = 0
 
     def blocked(self, this_pass: Pass) -> bool:
         """Whether it is known that the step finds no room now."""
-        if self._blocked is None:
+        if self._blocked is None or this_pass.now >= self._blocked_until:
             return False
         if self._blocked != self._standing(this_pass):
             return False
@@ -75,10 +78,23 @@
         )
 
     def note_no_room(self, this_pass: Pass) -> None:
-        """Take that none of the step's tasks found room."""
+        """Take that none of the step's tasks found room.
+
+        A step is looked at in each pass all the same if something may help it
+        that its standing does not show: workers not asked about yet, another
+        worker than those on which it failed, room beside tasks of other roles.
+        """
+        step = self.step
         # What keeps workers must do so in each pass.
-        if not this_pass.needs_earmarks(self.step):
+        looked_at = (
+            this_pass.needs_earmarks(step)
+            or bool(step.failed_on)
+            or role_of(step.spec) is not TaskRole.PLAIN
+            or this_pass.may_ask(step)
+        )
+        if not looked_at:
             self._blocked = self._standing(this_pass)
+            self._blocked_until = this_pass.now + _BLOCKED_FOR
 
     def choose_earmarks(self, missing: int, this_pass: Pass) -> set[WorkerId]:
         """Return the workers to keep for the step, chosen now and then."""
@@ -98,7 +114,6 @@
         return _Blocked(
             len(permits.known),
             len(permits.good),
-            len(self.step.failed_on),
             permits.asking,
             this_pass.workers.kept,
         )
@@ -185,6 +200,12 @@
             self._earmarks += 1
             self.workers.keep(kept)
 
+    def may_ask(self, step: StepState) -> bool:
+        """Whether a step has workers to ask about and does not ask yet."""
+        if step.job.queue.advice is None or step.permits.asking:
+            return False
+        return bool(self.workers.unknown(step))
+
     def needs_earmarks(self, step: StepState) -> bool:
         """Whether a step's tasks can't be fitted in one by one."""
         service = step.job.queue.service
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -217,6 +217,56 @@
 
         self.play(scene)
 
+    def test_a_step_that_could_not_ask_yet_asks_when_lanes_are_free(
+        self,
+    ) -> None:
+        """More steps wait than may ask at once, and nothing else changes."""
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            shard.desk.use_lanes([InstanceId('lane')])
+            spec = StepSpec(1, Size(1_000, 1))
+            jobs = [
+                _make_job(f'{number:016x}', spec, 1, advice=True)
+                for number in range(6)
+            ]
+            for job in jobs:
+                shard.add(job)
+            await asyncio.sleep(_SOON)
+            for number, _ in enumerate(jobs):
+                await shard.answer(number, valid=1.5)
+                await asyncio.sleep(3 * _SOON)
+            phases = {job.steps(0)[0].tasks[0].phase for job in jobs}
+            self.assertEqual({TaskPhase.PLACED}, phases)
+
+        self.play(scene)
+
+    def test_a_blocked_step_takes_a_worker_that_failed_it_if_need_be(
+        self,
+    ) -> None:
+        """The last other worker that may run a step leaves."""
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            await shard.add_worker('w-2')
+            full = _make_job('a' * 16, StepSpec(1, Size(60_000, 1)), 1, False)
+            shard.add(full)
+            await asyncio.sleep(_SOON)
+            busy = full.steps(0)[0].tasks[0].worker
+            blocked = _make_job('b' * 16, StepSpec(1, Size(9_000, 1)), 1, False)
+            other = (shard.state.books_by_worker.keys() - {busy}).pop()
+            blocked.steps(0)[0].failed_on.add(other)
+            shard.add(blocked)
+            await asyncio.sleep(_SOON)
+            task = blocked.steps(0)[0].tasks[0]
+            self.assertIs(TaskPhase.WAITING, task.phase)
+            shard.state.books_by_worker[busy].listed = False
+            shard.state.wanted.set()
+            await asyncio.sleep(_SOON)
+            self.assertEqual(other, task.worker)
+
+        self.play(scene)
+
     def test_a_blocked_step_is_placed_when_a_worker_has_room(self) -> None:
         """Hundreds of steps wait, and few workers have more room each time."""
 
