--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -15,6 +15,7 @@
 from typing import Any, cast
 
 import fire
+import msgspec
 
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk
@@ -98,10 +99,11 @@
         step = StepSpec(_STEP_TASKS, Size(cores * 1000, 1), estimate=6)
         queue = _QUEUE.settings
         if self.jobs % 8 == 0:
-            queue = type(queue)(
-                *(getattr(queue, name) for name in queue.__struct_fields__[:4]),
-                0, 3, 1.5, 0.25, 0, AdviceCost(0.016, 0.0002, 1e6),
-            )  # fmt: skip
+            queue = msgspec.structs.replace(
+                queue,
+                priority=0,
+                advice=AdviceCost(0.016, 0.0002, 1e6),
+            )
         record = JobRecord(queue, JobSpec('', (step,)), time.time())
         job = Job(JobId(f'{self.jobs:016x}'), record)
         waiting = next(job.open_steps(0))
--- a/standins/tests/test_model.py
+++ b/standins/tests/test_model.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+import pathlib
+import subprocess
+import sys
+import tempfile
+
 import msgspec
 from testtools import TestCase
 
@@ -43,6 +48,23 @@
     advice=(0.6, 0.0086, 1.5),
     good=0.25,
 )
+_CALM = """
+workers = 4
+lasts = 2
+[[queues]]
+name = "quick"
+per_s = 4
+worth = 1
+priority = 0
+stretch = 2
+target = 0.5
+tasks = { mean = 2 }
+cores = { mean = 4 }
+megabytes = { mean = 1000 }
+work = { mean = 0.3 }
+"""
+#: Seconds for two short days, each in a process of its own.
+_LONGEST = 60
 _CELL = CellLoad([_URGENT, _WIDE], workers=40, lanes=14, lasts=15)
 
 
@@ -68,6 +90,22 @@
         self.assertEqual((0, 0), (outcome.overfull, outcome.doubled))
 
 
+class ExperimentTest(TestCase):
+    def test_the_command_prints_a_row_for_each_seed(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'calm.toml'
+            path.write_text(_CALM)
+            ran = subprocess.run(
+                [sys.executable, '-m', 'standins.model', path, '--seeds', '2'],
+                capture_output=True,
+                text=True,
+                timeout=_LONGEST,
+                check=True,
+            )
+        self.assertEqual(2, ran.stdout.count('calm.toml'))
+        self.assertIn('mean worth', ran.stdout)
+
+
 class LargeCellTest(TestCase):
     def test_wide_steps_and_urgent_tasks_share_a_cell_near_its_limit(
         self,
