--- a/orchidrail/peers/pinger.py
+++ b/orchidrail/peers/pinger.py
@@ -18,8 +18,8 @@
 #: How often the owner is asked whether it is at work.
 OWNER_EVERY: Seconds = 0.1
 #: Peers that each speak to the owner so often; where there are more, those
-#: that don't stand by speak to it more rarely. Reckoned, not measured: at 0.2 ms
-#: an answer, 97 machines together would take a fifth of a core.
+#: that don't stand by speak to it more rarely. Reckoned, not measured: at
+#: 0.2 ms an answer, 97 machines together would take a fifth of a core.
 _FREQUENT_PEERS = 24
 #: Longest pause, as a multiple of the shortest one.
 _RAREST = 3
