Tell of each run whose worker is gone: how the worker ended, how young the run was

Cause: nothing in the lines told a run that had just begun from one that had been at work for seconds, nor a worker that crashed from one that left, so the hypotheses on the crashing task could not be told apart. Ruled out: to log each look (its volume). Change: the line 'run lost' (ordered, answered, shown_for, others), reasons by how the worker ended, orchidrail_workers_ended by how; no change of logic. Conclusion: an entry that goes before the worker falls silent tells of a leave, one that goes after it of a crash.

--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -19,6 +19,7 @@
         'nobody took over',
         'owner changed',
         'owner ends',
+        'run lost',
         'shard load',
         'shard taken over',
         'started',
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -197,6 +197,11 @@
             'queue',
             'ending',
         )
+        self.worker_ends = self._count(
+            'workers_ended',
+            'Lives of workers that ended, by how.',
+            'how',
+        )
         self.store_calls = self._count(
             'store_calls',
             'Calls to the store, by way (direct or relay) and status.',
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -76,6 +76,11 @@
     confirmed_at: Seconds = math.inf
     start_deadline: Seconds = math.inf
     stopping: bool = False
+    #: Whether the order to start it went out, or it was found there: else the
+    #: worker has never heard of it.
+    ordered: bool = False
+    #: When a listing showed it last; 0 before the first does.
+    seen_at: Seconds = 0
     share_done: float = 0
     #: When `share_done` changed last; 0 before the first listing shows it.
     progress_at: Seconds = 0
@@ -92,6 +97,15 @@
             return False
         return now - self.progress_at > _STALLED_AFTER
 
+    def shown_for(self) -> Seconds:
+        """Return how long after its start a listing still showed the run.
+
+        It is 0 if none did: the worker may have ended with the start.
+        """
+        if not self.seen_at or self.confirmed_at == math.inf:
+            return 0
+        return max(0, self.seen_at - self.confirmed_at)
+
     def _waits_for_gang(self) -> bool:
         """Whether other members may not have come or not have ended yet."""
         return not self.share_done or self.share_done >= _ALL_BUT_DONE
@@ -140,6 +154,21 @@
         #: False once the worker's entry is gone for good: it has left, or
         #: leaves without having said so.
         self.listed = True
+        #: Since when the worker has no entry in the store, if it has none.
+        self.missing_since: Seconds | None = None
+
+    def left_by_itself(self) -> bool:
+        """Whether the worker had said, or shown, that it leaves.
+
+        One that leaves without a word takes its entry away and serves on for
+        seconds; the entry of one that has crashed goes seconds after it.
+        """
+        if self.entry.state is WorkerState.DRAINING:
+            return True
+        lost_at = self.session.lost_at
+        if self.missing_since is None:
+            return False
+        return lost_at is None or self.missing_since < lost_at
 
     def open(self, now: Seconds) -> bool:
         """Whether new work may go to the worker."""
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -13,6 +13,7 @@
 
 from orchidrail.journal import JournalView
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
@@ -91,7 +92,6 @@
         self._raw_by_worker: dict[WorkerId, bytes] = {}
         self._task_by_worker: dict[WorkerId, asyncio.Task[None]] = {}
         self._sessions = TaskSet('session')
-        self._missing_since: dict[WorkerId, Seconds] = {}
         #: When each entry was last seen to be written.
         self._written_at_by_worker: dict[WorkerId, Seconds] = {}
         self._read_at = state.clock()
@@ -149,9 +149,9 @@
         for worker, books in self._state.books_by_worker.items():
             listed = worker in self._view.value_by_key
             if listed:
-                self._missing_since.pop(worker, None)
-            else:
-                self._missing_since.setdefault(worker, now)
+                books.missing_since = None
+            elif books.missing_since is None:
+                books.missing_since = now
             self._use_listed(books, listed or now < self._settled_at)
 
     def _use_listed(self, books: WorkerBooks, listed: bool) -> None:
@@ -230,8 +230,8 @@
                 session.end_life()
             lapsed = not session.reachable and session.lease.ended(now)
             if lapsed and not session.over:
-                self._runs.give_up_worker(worker, 'lease ended')
-            if session.over or (lapsed and self._gone(worker, books, now)):
+                self._runs.give_up_worker(worker, LifeEnd.LEASE_ENDED)
+            if session.over or (lapsed and self._gone(books, now)):
                 self._forget(worker)
         if now > self._doubt_until:
             self._sweep_unmet()
@@ -240,7 +240,7 @@
         """Give up workers of an earlier owner that never came back."""
         unmet = self._state.unresolved_by_worker.keys()
         for worker in unmet - self._state.books_by_worker.keys():
-            self._runs.give_up_worker(worker, 'never met')
+            self._runs.give_up_worker(worker, LifeEnd.NEVER_MET)
 
     def _has_left(self, worker: WorkerId, books: WorkerBooks) -> bool:
         """Whether a worker that said so has left, with all that ran there.
@@ -248,7 +248,7 @@
         Its entry goes at once then. One that lapsed tells nothing: the worker
         may be cut off and run on.
         """
-        since = self._missing_since.get(worker)
+        since = books.missing_since
         if since is None or books.entry.state is not WorkerState.DRAINING:
             return False
         if books.session.reachable or books.session.over:
@@ -256,20 +256,14 @@
         written = self._written_at_by_worker.get(worker, self._gap_ended_at)
         return written > self._gap_ended_at and since - written < _FRESH_FOR
 
-    def _gone(
-        self,
-        worker: WorkerId,
-        books: WorkerBooks,
-        now: Seconds,
-    ) -> bool:
-        since = self._missing_since.get(worker)
+    def _gone(self, books: WorkerBooks, now: Seconds) -> bool:
+        since = books.missing_since
         if since is None or books.run_by_key:
             return False
         draining = books.entry.state is WorkerState.DRAINING
         return draining or now - since > _MISSING_FOR
 
     def _forget(self, worker: WorkerId) -> None:
-        self._missing_since.pop(worker, None)
         self._written_at_by_worker.pop(worker, None)
         self._state.books_by_worker.pop(worker, None)
         self._state.drop_worker(worker)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -11,6 +11,7 @@
 
 from orchidrail.journal.writer import Commit
 from orchidrail.shard.books import PlacedRun, WorkerBooks, note_progress
+from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.placing import Placement
 from orchidrail.shard.ranking import due_at
 from orchidrail.shard.standing import Standings
@@ -180,32 +181,61 @@
 
     def on_life_over(self, session: WorkerSession) -> None:
         """See `Observer.on_life_over`."""
-        self.give_up_worker(session.worker, 'life over')
+        books = self._state.books_by_worker.get(session.worker)
+        left = books is not None and books.left_by_itself()
+        end = LifeEnd.LEFT if left else LifeEnd.CRASHED
+        self.give_up_worker(session.worker, end)
 
     def on_fenced(self, session: WorkerSession) -> None:
         """See `Observer.on_fenced`."""
         _log.warning('fenced by a worker', worker=session.worker)
         self._fenced()
 
-    def give_up_worker(self, worker: WorkerId, reason: str) -> None:
+    def give_up_worker(self, worker: WorkerId, end: LifeEnd) -> None:
         """Take all that a worker ran for ended."""
         touched: dict[str, Job] = {}
         books = self._state.books_by_worker.get(worker)
         lost = list(books.run_by_key.values()) if books else []
         for run in lost:
+            self._log_lost(worker, run, end, len(lost))
             self._lose(books, run, touched)
         for task, number in self._state.unresolved_by_worker.pop(worker, ()):
             self._requeue(task, number, touched)
         for job in touched.values():
             self._settle(job)
+        self._state.metrics.worker_ends.labels(end.value).inc()
         if touched:
             _log.info(
                 'worker given up',
                 worker=worker,
-                reason=reason,
+                reason=end.value,
                 jobs=list(touched),
             )
 
+    def _log_lost(
+        self,
+        worker: WorkerId,
+        run: PlacedRun,
+        end: LifeEnd,
+        lost: int,
+    ) -> None:
+        """Tell what is known of a run whose worker is gone.
+
+        Runs that had just begun may be the cause; those that a listing showed
+        long after their start are not.
+        """
+        _log.info(
+            'run lost',
+            task=run.key.task,
+            run=run.key.run,
+            worker=worker,
+            reason=end.value,
+            ordered=run.ordered,
+            answered=run.confirmed_at < math.inf,
+            shown_for=round(run.shown_for(), 3),
+            others=lost - 1,
+        )
+
     def _place(self, placement: Placement, gang_run: RunNumber) -> RunKey:
         """Take the room for a run and note it in its job."""
         task, books = placement
@@ -240,6 +270,7 @@
         if run.stopping or job.ended:
             self._not_started(books, run, OrderResult.NOT_SENT)
             return
+        run.ordered = True
         answer, deadline = await books.session.start(
             key,
             job.spec.text,
@@ -318,6 +349,7 @@
             run = self._adopt(books, active)
         now = self._state.clock()
         note_progress(run, active.share_done, now)
+        run.seen_at = now
         if run.confirmed_at == math.inf:
             run.confirmed_at = now
         task = run.task
@@ -337,7 +369,14 @@
         task = self._state.find_task(active.key.task)
         now = self._state.clock()
         size = task.step.spec.charged if task else None
-        run = PlacedRun(active.key, size, task, now, confirmed_at=now)
+        run = PlacedRun(
+            active.key,
+            size,
+            task,
+            now,
+            confirmed_at=now,
+            ordered=True,
+        )
         books.charge(run, active.key.task.rpartition('.')[0])
         unlogged = (
             task is not None
--- /dev/null
+++ b/orchidrail/shard/tests/test_lost_runs.py
@@ -0,0 +1,73 @@
+"""Tests of what is told of runs whose worker is gone."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from structlog.testing import capture_logs
+
+from orchidrail.shard.tests.test_runs import Shard, ShardTestCase
+from orchidrail.work.model import StepSpec
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.port import OrderResult, WorkerState
+
+_SOON = 0.12
+
+
+class LostRunsTest(ShardTestCase):
+    def test_a_run_that_had_just_begun_is_told_from_one_at_work(self) -> None:
+        async def scene(shard: Shard) -> None:
+            older = shard.add(make_job(StepSpec(1)))
+            shard.launch(older)
+            await asyncio.sleep(_SOON)
+            await shard.look()
+            newer = shard.add(make_job(StepSpec(1), job_id='f' * 16))
+            shard.launch(newer)
+            await asyncio.sleep(_SOON)
+            with capture_logs() as lines:
+                await shard.crash()
+            shown_by_task = {
+                line['task']: line['shown_for']
+                for line in lines
+                if line['event'] == 'run lost'
+            }
+            self.assertEqual(0, shown_by_task[newer.tasks[0].key])
+            self.assertGreater(shown_by_task[older.tasks[0].key], 0)
+
+        self.play(scene)
+
+    def test_a_crash_is_told_from_an_announced_end(self) -> None:
+        async def scene(shard: Shard) -> None:
+            shard.launch(shard.add(make_job(StepSpec(1))))
+            await asyncio.sleep(_SOON)
+            shard.books.entry = msgspec.structs.replace(
+                shard.books.entry,
+                state=WorkerState.DRAINING,
+            )
+            with capture_logs() as lines:
+                await shard.crash()
+            reasons = {line['reason'] for line in lines if 'reason' in line}
+            self.assertEqual({'left'}, reasons)
+
+        self.play(scene)
+
+    def test_an_entry_that_goes_after_the_crash_tells_of_no_leave(self) -> None:
+        async def scene(shard: Shard) -> None:
+            shard.worker.hold_result = OrderResult.UNKNOWN
+            await shard.look()
+            await shard.look()
+            shard.books.missing_since = shard.state.clock()
+            self.assertFalse(shard.books.left_by_itself())
+
+        self.play(scene)
+
+    def test_an_entry_that_goes_before_tells_of_a_leave(self) -> None:
+        async def scene(shard: Shard) -> None:
+            shard.books.missing_since = shard.state.clock()
+            shard.worker.hold_result = OrderResult.UNKNOWN
+            await shard.look()
+            await shard.look()
+            self.assertTrue(shard.books.left_by_itself())
+
+        self.play(scene)
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -10,6 +10,7 @@
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.placing import Placement
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
@@ -38,7 +39,7 @@
 _SOON = 0.12
 
 
-class _Shard:
+class Shard:
     """One worker, one journal and the tracker between them."""
 
     def __init__(self, writer: JournalWriter) -> None:
@@ -79,15 +80,22 @@
     async def look(self) -> None:
         await self.books.session._look()
 
+    async def crash(self) -> None:
+        """End the worker's life; another answers at its address."""
+        self.worker.hold_result = OrderResult.OTHER_LIFE
+        await self.look()
 
-class RunsTest(AsyncTestCase):
-    def play(self, scene: Callable[[_Shard], Awaitable[None]]) -> None:
+
+class ShardTestCase(AsyncTestCase):
+    """Plays scenes around one tracker."""
+
+    def play(self, scene: Callable[[Shard], Awaitable[None]]) -> None:
         """Run a scene beside the journal's writer."""
 
         async def run() -> None:
             view = JournalView(MemoryStore(), Topic('journal'))
             writer = await take_over(view, _ME, time.monotonic, Epoch(0))
-            shard = _Shard(writer)
+            shard = Shard(writer)
             writing = asyncio.create_task(writer.run())
             await shard.look()
             try:
@@ -98,8 +106,10 @@
 
         self.run_async(run())
 
+
+class RunsTest(ShardTestCase):
     def test_a_start_goes_out_once_the_journal_has_it(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             store = shard.store
             assert isinstance(store, MemoryStore)
             store.fault = StoreFault.REFUSES
@@ -113,7 +123,7 @@
         self.play(scene)
 
     def test_an_end_frees_the_room_and_completes_the_job(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             job = make_job(StepSpec(1, size=Size(500)))
             shard.launch(shard.add(job))
             self.assertEqual(63_500, shard.books.free.millicores)
@@ -126,7 +136,7 @@
         self.play(scene)
 
     def test_a_doubtful_start_keeps_its_room_until_it_is_too_late(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.UNKNOWN
             step = shard.add(make_job(StepSpec(1, size=Size(500))))
             shard.launch(step)
@@ -142,7 +152,7 @@
         self.play(scene)
 
     def test_a_start_whose_task_fails_is_started_again(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             async def fail(*_: object) -> None:
                 raise ValueError('not understood')
 
@@ -157,7 +167,7 @@
         self.play(scene)
 
     def test_a_refused_start_is_free_at_once(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.LATE
             step = shard.add(make_job(StepSpec(1, size=Size(500))))
             shard.launch(step)
@@ -168,7 +178,7 @@
         self.play(scene)
 
     def test_an_unknown_run_closes_the_worker_until_it_is_gone(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             key = RunKey(TaskKey('f' * 16 + '.0.0.0'), RunNumber(1))
             shard.worker.active[key] = ActiveRun(key, '', 0)
             await shard.look()
@@ -182,7 +192,7 @@
         self.play(scene)
 
     def test_a_run_of_an_earlier_owner_is_adopted(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             job = make_job(StepSpec(1, size=Size(500)))
             step = shard.add(job)
             task = step.tasks[0]
@@ -199,7 +209,7 @@
         self.play(scene)
 
     def test_a_run_that_never_came_is_started_again(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             job = make_job(StepSpec(1))
             step = shard.add(job)
             task = step.tasks[0]
@@ -214,7 +224,7 @@
         self.play(scene)
 
     def test_a_run_that_was_just_placed_does_not_stand_still(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.UNKNOWN
             shard.launch(shard.add(make_job(StepSpec(1))))
             await shard.look()
@@ -223,7 +233,7 @@
         self.play(scene)
 
     def test_a_run_that_stands_still_is_run_elsewhere(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             step = shard.add(make_job(StepSpec(1)))
             shard.launch(step)
             await asyncio.sleep(_SOON)
@@ -239,7 +249,7 @@
         self.play(scene)
 
     def test_a_worker_that_fails_two_jobs_rests(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             for number in range(2, 5):
                 name = WorkerId(f'w-{number}')
                 shard.state.books_by_worker[name] = shard.books
@@ -256,7 +266,7 @@
         self.play(scene)
 
     def test_an_unlogged_run_that_has_ended_counts(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             job = make_job(StepSpec(1))
             step = shard.add(job)
             key = RunKey(step.tasks[0].key, RunNumber(2))
@@ -267,7 +277,7 @@
         self.play(scene)
 
     def test_an_unlogged_run_replaces_the_one_that_was_logged(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             job = make_job(StepSpec(1, size=Size(500)))
             task = shard.add(job).tasks[0]
             gone = WorkerId('gone')
@@ -277,13 +287,13 @@
             shard.worker.active[key] = ActiveRun(key, '', 50)
             await shard.look()
             self.assertEqual(2, task.run)
-            shard.runs.give_up_worker(gone, 'test')
+            shard.runs.give_up_worker(gone, LifeEnd.LEASE_ENDED)
             self.assertIs(TaskPhase.PLACED, task.phase)
 
         self.play(scene)
 
     def test_a_gang_that_lost_a_member_is_stopped(self) -> None:
-        async def scene(shard: _Shard) -> None:
+        async def scene(shard: Shard) -> None:
             step = shard.add(make_job(StepSpec(2, gang=True)))
             shard.launch(step)
             await asyncio.sleep(_SOON)
--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -25,7 +25,12 @@
 _WORKER = WorkerId('w-1')
 
 
-def make_job(*steps: StepSpec, attempts: int = 2, repeats: int = 0) -> Job:
+def make_job(
+    *steps: StepSpec,
+    attempts: int = 2,
+    repeats: int = 0,
+    job_id: str = '0123456789abcdef',
+) -> Job:
     """Return an accepted job with these steps."""
     queue = QueueSettings(
         QueueName('queue'),
@@ -35,7 +40,7 @@
         max_attempts=attempts,
     )
     spec = JobSpec('text', steps, repeats, first_at=100, interval=10)
-    return Job(JobId('0123456789abcdef'), JobRecord(queue, spec, 0))
+    return Job(JobId(job_id), JobRecord(queue, spec, 0))
 
 
 def place_all(step: StepState) -> None:
