Run the tests that are known to fail, print them, and fail when one passes or is missing

Cause: nothing read KNOWN-RED.txt, so a failing test could not land. Change: a plugin of the test runner; listed tests run and must fail; a list of more than three, a row without cause or issue, and a name that no test has are errors.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,3 @@
+"""What all tests of the project share."""
+
+pytest_plugins = ('tools.known_red',)
--- /dev/null
+++ b/tools/known_red.py
@@ -0,0 +1,135 @@
+"""Tests that are known to fail: run all the same, printed, never hidden.
+
+`KNOWN-RED.txt` at the root has one line each: test, cause, issue, with ` | `
+between them. Such a test must fail: one that passes, or that is not there, is
+an error, as is a longer list.
+"""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Generator
+from typing import NamedTuple
+
+import pytest
+
+LIST_NAME = 'KNOWN-RED.txt'
+#: Most faults that may be left for a next time, as the project agreed.
+MOST_LISTED = 3
+_SEPARATOR = ' | '
+_FIELDS = 3
+_PLUGIN = 'known-red'
+
+
+class KnownRed(NamedTuple):
+    """One listed test."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+class ListError(ValueError):
+    """The list can't be read, or is too long."""
+
+
+def read_list(text: str) -> dict[str, KnownRed]:
+    """Return the listed tests by name.
+
+    Raises
+    ------
+    ListError
+
+    Examples
+    --------
+    >>> read_list('# nothing else')
+    {}
+    >>> list(read_list('a/test_b.py::test_c | it is broken | 7'))
+    ['a/test_b.py::test_c']
+    """
+    lines = [line.strip() for line in text.splitlines()]
+    rows = [line for line in lines if line and not line.startswith('#')]
+    if len(rows) > MOST_LISTED:
+        raise ListError(
+            f'{len(rows)!r} tests, expected {MOST_LISTED!r} at most'
+        )
+    listed = [_read_row(row) for row in rows]
+    return {known.test: known for known in listed}
+
+
+def _read_row(row: str) -> KnownRed:
+    fields = [field.strip() for field in row.split(_SEPARATOR)]
+    if len(fields) != _FIELDS or not all(fields):
+        raise ListError(f'{row!r}, expected "test | cause | issue"')
+    return KnownRed(*fields)
+
+
+class KnownRedPlugin:
+    """Expects the listed tests to fail.
+
+    Parameters
+    ----------
+    known_by_test : dict
+    """
+
+    def __init__(self, known_by_test: dict[str, KnownRed]) -> None:
+        """Start with no test run."""
+        self._known_by_test = known_by_test
+        self._failed: set[str] = set()
+
+    def pytest_collection_modifyitems(
+        self,
+        config: pytest.Config,
+        items: list[pytest.Item],
+    ) -> None:
+        """Fail if all tests are collected and a listed one is not there."""
+        parts = config.getoption('file_or_dir') or config.getoption('keyword')
+        missing = self._known_by_test.keys() - {item.nodeid for item in items}
+        if missing and not parts:
+            raise pytest.UsageError(
+                f'{LIST_NAME} lists tests that are not there: '
+                f'{sorted(missing)!r}'
+            )
+
+    @pytest.hookimpl(wrapper=True)
+    def pytest_runtest_makereport(
+        self,
+        item: pytest.Item,
+        call: pytest.CallInfo[None],
+    ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+        """Turn the outcome of a listed test round."""
+        report = yield
+        if call.when != 'call' or item.nodeid not in self._known_by_test:
+            return report
+        if report.failed:
+            self._failed.add(item.nodeid)
+            report.outcome = 'skipped'
+            report.wasxfail = f'listed in {LIST_NAME}'
+        else:
+            report.outcome = 'failed'
+            report.longrepr = f'passes, but {LIST_NAME} lists it: take it off'
+        return report
+
+    def pytest_terminal_summary(
+        self,
+        terminalreporter: pytest.TerminalReporter,
+    ) -> None:
+        """Print what was passed over."""
+        for test in sorted(self._failed):
+            known = self._known_by_test[test]
+            terminalreporter.write_line(
+                f'known red, failed as listed: {test} '
+                f'({known.cause}; {known.issue})'
+            )
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Read the list at the root of the tests."""
+    path = pathlib.Path(config.rootpath) / LIST_NAME
+    if not path.exists():
+        return
+    try:
+        listed = read_list(path.read_text())
+    except ListError as error:
+        raise pytest.UsageError(f'{LIST_NAME}: {error}') from error
+    config.pluginmanager.register(KnownRedPlugin(listed), _PLUGIN)
