--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -6,6 +6,7 @@
 import statistics
 import time
 from contextlib import AsyncExitStack
+from functools import partial
 from random import Random
 
 import msgspec
@@ -19,7 +20,14 @@
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore
 from orchidrail.store.port import KeyedRecord
-from orchidrail.types import Address, Epoch, InstanceId, JobId, Seconds
+from orchidrail.types import (
+    Address,
+    Epoch,
+    InstanceId,
+    JobId,
+    Seconds,
+    WorkerId,
+)
 from orchidrail.work.job import Job
 from orchidrail.work.model import MemberInfo, Size
 from orchidrail.workers.port import WorkerEntry
@@ -27,6 +35,7 @@
     EndedJob,
     Outcome,
     earned_share,
+    judge_crashes,
     judge_queues,
 )
 from standins.model.liveness import LivenessWatch
@@ -103,6 +112,7 @@
                 self._watch(owner),
                 self._watch_liveness(owner),
                 self._harm(),
+                self._crash(),
             )
             for work in works:
                 stack.callback(asyncio.create_task(work).cancel)
@@ -123,6 +133,7 @@
             for worker, one in self.workers.by_id.items()
         ]
         await store.append(_TOPIC, entries)
+        self.workers.publish = partial(_publish, store)
         view = JournalView(store, Topic('journal'))
         writer = await take_over(view, _ME, loop.time, Epoch(0))
         owner = ShardOwner(
@@ -194,6 +205,14 @@
             until = _LEAD + outage.at + outage.lasts
             self.workers.silence(outage.share, until)
 
+    async def _crash(self) -> None:
+        loop = asyncio.get_running_loop()
+        for crashes in self._load.crashes:
+            await asyncio.sleep(max(0, _LEAD + crashes.at - loop.time()))
+            for _ in range(int(crashes.lasts / crashes.every)):
+                self.workers.crash_some(crashes.share)
+                await asyncio.sleep(crashes.every)
+
     def _judge(self, processor_s: Seconds) -> Outcome:
         jobs = [
             self._ended_by_id.get(job_id, EndedJob(drawn, None, None))
@@ -207,9 +226,21 @@
             self.workers.overfull,
             self.workers.doubled,
             self.workers.refused_tickets,
+            judge_crashes(jobs, self.workers),
             round(processor_s, 2),
         )
 
 
+def _publish(
+    store: MemoryStore,
+    worker: WorkerId,
+    entry: WorkerEntry | None,
+) -> None:
+    """Put a worker's entry into the store, or take it away."""
+    raw = b'' if entry is None else msgspec.msgpack.encode(entry)
+    kept = store.records_by_topic[_TOPIC]
+    kept.append(KeyedRecord(worker, raw))
+
+
 def _wall_clock() -> Seconds:
     return TRAFFIC_BEGINS + asyncio.get_running_loop().time() - _LEAD
--- a/standins/model/experiment.py
+++ b/standins/model/experiment.py
@@ -9,7 +9,7 @@
 from rich.table import Table
 
 from standins.model.cell import CellModel
-from standins.model.judging import Outcome
+from standins.model.judging import CrashOutcome, Outcome
 from standins.model.load import read_load
 
 #: Columns of the printed table.
@@ -48,7 +48,15 @@
 
 def _table(days: list[tuple[str, int]], outcomes: list[Outcome]) -> Table:
     table = Table(
-        'day', 'seed', 'worth', 'by queue', 'busy', 'idle', 'broken', 'cpu s'
+        'day',
+        'seed',
+        'worth',
+        'by queue',
+        'busy',
+        'idle',
+        'broken',
+        'crashes',
+        'cpu s',
     )
     for (path, seed), one in zip(days, outcomes, strict=True):
         queues = [
@@ -64,8 +72,18 @@
             str(one.busy_share),
             str(one.idle_waiting_share),
             f'{one.overfull}+{one.doubled}+{one.refused_tickets}',
+            _show_crashes(one.crashes),
             str(one.processor_s),
         )
     mean = statistics.fmean(one.worth for one in outcomes)
     table.caption = f'mean worth {mean:.4f}'
     return table
+
+
+def _show_crashes(crashes: CrashOutcome) -> str:
+    return (
+        f'{crashes.crashing} crashing, most {crashes.most_crashes}, '
+        f'{crashes.over_budget} over budget\n'
+        f'{crashes.given_up_in_error} given up in error, '
+        f'{crashes.lost_beside} lost beside'
+    )
--- a/standins/model/judging.py
+++ b/standins/model/judging.py
@@ -8,11 +8,14 @@
 from orchidrail.types import Seconds
 from orchidrail.work.records import JobPhase
 from standins.model.load import DrawnJob
+from standins.model.workers import ModelWorkers
 
 #: Part of its worth that a job has which ends late.
 _LATE_SHARE = 0.2
 #: Times its objective after which a job is worth nothing.
 _USELESS_AFTER = 3
+#: Starts after a task's third crash that break the promise.
+_STARTS_TOO_MANY = 3
 
 
 class EndedJob(NamedTuple):
@@ -67,6 +70,31 @@
         )
 
 
+class CrashOutcome(NamedTuple):
+    """What came of tasks that crash their workers, and of those beside them.
+
+    Parameters
+    ----------
+    crashing : int
+        Jobs with such a task.
+    most_crashes : int
+        Workers that one such task has crashed.
+    over_budget : int
+        Tasks started three times more after three crashes.
+    given_up_in_error : int
+        Jobs without such a task that were shown as failed, of queues whose
+        runs never fail by themselves.
+    lost_beside : int
+        Runs lost with their worker that had not crashed it.
+    """
+
+    crashing: int
+    most_crashes: int
+    over_budget: int
+    given_up_in_error: int
+    lost_beside: int
+
+
 class Outcome(NamedTuple):
     """One modelled day, judged.
 
@@ -89,6 +117,7 @@
     overfull: int
     doubled: int
     refused_tickets: int
+    crashes: CrashOutcome
     processor_s: Seconds
 
 
@@ -104,6 +133,25 @@
 
 
 def earned_share(jobs: list[EndedJob]) -> float:
-    """Return what was earned as a share of what was owed."""
+    """Return what was earned as a share of what was owed.
+
+    Nobody is owed a job that crashes workers.
+    """
+    jobs = [job for job in jobs if not job.drawn.crashing]
     owed = sum(job.drawn.worth for job in jobs)
     return round(sum(job.earned for job in jobs) / owed, 4)
+
+
+def judge_crashes(jobs: list[EndedJob], workers: ModelWorkers) -> CrashOutcome:
+    """Sum up what came of tasks that crash their workers."""
+    failed = [job.drawn for job in jobs if job.phase is JobPhase.FAILED]
+    return CrashOutcome(
+        sum(bool(job.drawn.crashing) for job in jobs),
+        max(workers.crashes_by_task.values(), default=0),
+        sum(
+            starts >= _STARTS_TOO_MANY
+            for starts in workers.late_starts_by_task.values()
+        ),
+        sum(not drawn.crashing and not drawn.queue.fails for drawn in failed),
+        workers.lost_beside,
+    )
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -66,6 +66,10 @@
         Of each job; `work` in seconds a task.
     fails : float
         Share of runs that fail by themselves.
+    crashes : float
+        Share of tasks each run of which ends its worker.
+    crashes_after : float
+        Seconds from such a run's start to its worker's end.
     estimate_off : float
         Spread of the caller's estimates.
     gang, apart : float
@@ -89,6 +93,8 @@
     work: Draw
     steps: float = 1
     fails: float = 0
+    crashes: float = 0
+    crashes_after: Seconds = 0.01
     estimate_off: float = 0
     gang: float = 0
     apart: float = 0
@@ -131,6 +137,21 @@
     share: float
 
 
+class Crashes(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A share of the workers crashes by chance, time and again.
+
+    Parameters
+    ----------
+    every : float
+        Seconds between two such moments.
+    """
+
+    at: Seconds
+    lasts: Seconds
+    every: Seconds
+    share: float
+
+
 class CellLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One modelled day.
 
@@ -138,6 +159,8 @@
     ----------
     slow_share, slow_times : float
         Share of the workers that are slower, and by which factor.
+    restart : float
+        Seconds until a crashed worker is back under a new name.
     lanes : int
         Machines through which advice may be asked for.
     lasts : float
@@ -151,10 +174,12 @@
     rack: int = 8
     slow_share: float = 0
     slow_times: float = 1.3
+    restart: Seconds = 3.2
     lanes: int = 7
     lasts: Seconds = 30
     surges: list[Surge] = []
     outages: list[Outage] = []
+    crashes: list[Crashes] = []
 
 
 class DrawnJob(NamedTuple):
@@ -165,6 +190,8 @@
     spec: JobSpec
     #: Seconds of work by step and task.
     work: list[list[Seconds]]
+    #: Tasks that crash their workers, by step and number.
+    crashing: frozenset[tuple[int, int]]
     #: Time from its arrival within which it is to end.
     objective: Seconds
     worth: float
@@ -233,11 +260,28 @@
         now,
         spec,
         work,
+        _draw_crashing(queue, work, random),
         queue.stretch * chain + queue.target + queue.rounds * queue.every,
         _worth(queue, steps, work),
     )
 
 
+def _draw_crashing(
+    queue: QueueLoad,
+    work: list[list[Seconds]],
+    random: Random,
+) -> frozenset[tuple[int, int]]:
+    if not queue.crashes:
+        # The days of other seeds stay as they are.
+        return frozenset()
+    return frozenset(
+        (number, index)
+        for number, takes in enumerate(work)
+        for index in range(len(takes))
+        if random.random() < queue.crashes
+    )
+
+
 def _worth(
     queue: QueueLoad,
     steps: list[StepSpec],
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -5,9 +5,12 @@
 import asyncio
 import contextlib
 import zlib
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
+import msgspec
+
 from orchidrail.shard.books import Size
 from orchidrail.types import Address, Epoch, Seconds, TaskKey, WorkerId
 from orchidrail.workers.port import (
@@ -30,6 +33,11 @@
 _WHOLE = 100
 #: Start of the steady clocks of the workers.
 _CLOCK_BEGINS: Seconds = 1000
+#: An entry goes after three heartbeats without a write, counted from the last.
+_ENTRY_LASTS: Seconds = 4.5
+_HEARTBEAT: Seconds = 1.5
+#: Crashes of a task after which its starts are counted.
+_CRASHES_ALLOWED = 3
 
 
 class _Run:
@@ -51,8 +59,20 @@
         self.run_by_key: dict[RunKey, _Run] = {}
         self.ended: list[EndedRun] = []
         self.changed = asyncio.Event()
+        self.over = False
         self._number = 0
 
+    def crash(self) -> list[RunKey]:
+        """End this life; return what ran."""
+        self.over = True
+        for run in self.run_by_key.values():
+            if run.timer is not None:
+                run.timer.cancel()
+        lost = list(self.run_by_key)
+        self.run_by_key.clear()
+        self.changed.set()
+        return lost
+
     def end(self, key: RunKey, ending: RunEnding) -> None:
         """End a run and list its end."""
         run = self.run_by_key.pop(key, None)
@@ -99,12 +119,65 @@
         self.overfull = 0
         self.doubled = 0
         self.refused_tickets = 0
+        #: Writes a worker's entry, or takes it away.
+        self.publish: Callable[[WorkerId, WorkerEntry | None], None] = _nothing
+        self.crashes_by_task: Counter[TaskKey] = Counter()
+        #: Starts of a task that had crashed three workers before.
+        self.late_starts_by_task: Counter[TaskKey] = Counter()
+        #: Runs that ended with their worker though they did not crash it.
+        self.lost_beside = 0
+        self._restart = load.restart
+        self._lives = 0
+        self._current_by_address: dict[Address, ModelWorker] = {}
         self._where_by_task: dict[TaskKey, WorkerId] = {}
         for number in range(load.workers):
             slow = random.random() < load.slow_share
             entry = _make_entry(load, number)
             slowness = load.slow_times if slow else 1
-            self.by_id[entry.worker] = ModelWorker(entry, slowness)
+            self._add(ModelWorker(entry, slowness))
+
+    def _add(self, worker: ModelWorker) -> None:
+        self.by_id[worker.entry.worker] = worker
+        self._current_by_address[worker.entry.address] = worker
+
+    def crash_some(self, share: float) -> None:
+        """Let a share of the workers crash by chance."""
+        every = list(self._current_by_address.values())
+        for worker in self._random.sample(every, round(share * len(every))):
+            self._crash(worker, None)
+
+    def _crash(self, worker: ModelWorker, cause: RunKey | None) -> None:
+        """End a worker's life with all that runs there; it will be back."""
+        if worker.over:
+            return
+        for key in worker.crash():
+            self._where_by_task.pop(key.task, None)
+            self.lost_beside += key != cause
+        if cause is not None:
+            self.crashes_by_task[cause.task] += 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._restart, self._restart_after, worker)
+        loop.call_later(
+            _ENTRY_LASTS - _HEARTBEAT * self._random.random(),
+            self.publish,
+            worker.entry.worker,
+            None,
+        )
+
+    def _restart_after(self, old: ModelWorker) -> None:
+        self._lives += 1
+        name = WorkerId(f'{old.entry.address}/{self._lives}')
+        entry = msgspec.structs.replace(old.entry, worker=name)
+        self._add(ModelWorker(entry, old.slowness))
+        self.publish(name, entry)
+
+    def _ended(self, worker: ModelWorker) -> OrderAnswer | None:
+        """Return what is heard at the address of a life that is over."""
+        if not worker.over:
+            return None
+        if self._current_by_address[worker.entry.address].over:
+            return OrderAnswer(OrderResult.NOT_SENT)
+        return OrderAnswer(OrderResult.OTHER_LIFE)
 
     def silence(self, share: float, until: Seconds) -> None:
         """Let a share of the workers answer nothing for a while."""
@@ -122,6 +195,9 @@
         worker = self.by_id[entry.worker]
         if not await self._reaches(worker, timeout):
             return OrderAnswer(OrderResult.UNKNOWN)
+        ended = self._ended(worker)
+        if ended is not None:
+            return ended
         now = asyncio.get_running_loop().time()
         job, step, index = self._drawn(order.key)
         if job.queue.advice and not _ticket_holds(order.ticket, now):
@@ -142,6 +218,13 @@
             order.key,
             ending,
         )
+        if (step, index) in job.crashing:
+            asyncio.get_running_loop().call_later(
+                min(takes, job.queue.crashes_after),
+                self._crash,
+                worker,
+                order.key,
+            )
         await asyncio.sleep(_TRAVELS)
         return OrderAnswer(OrderResult.TAKEN, _CLOCK_BEGINS + now)
 
@@ -156,6 +239,9 @@
         worker = self.by_id[entry.worker]
         if not await self._reaches(worker, timeout):
             return OrderAnswer(OrderResult.UNKNOWN)
+        ended = self._ended(worker)
+        if ended is not None:
+            return ended
         self._end(worker, key, RunEnding.STOPPED)
         now = asyncio.get_running_loop().time()
         return OrderAnswer(OrderResult.TAKEN, _CLOCK_BEGINS + now)
@@ -171,12 +257,18 @@
         worker = self.by_id[entry.worker]
         if not await self._reaches(worker, timeout):
             return OrderAnswer(OrderResult.UNKNOWN)
+        ended = self._ended(worker)
+        if ended is not None:
+            return ended
         listing = worker.listing(loop.time(), order.last_seen)
         if order.wait and not listing.ended:
             worker.changed.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(order.wait):
                     await worker.changed.wait()
+            if worker.over:
+                # Its open connections break.
+                return OrderAnswer(OrderResult.UNKNOWN)
             listing = worker.listing(loop.time(), order.last_seen)
         await asyncio.sleep(_TRAVELS)
         return listing
@@ -225,6 +317,8 @@
         if key.task in self._where_by_task:
             self.doubled += 1
         self._where_by_task[key.task] = worker.entry.worker
+        if self.crashes_by_task[key.task] >= _CRASHES_ALLOWED:
+            self.late_starts_by_task[key.task] += 1
         used = Size()
         for run in (*worker.run_by_key, key):
             job, step, _ = self._drawn(run)
@@ -233,6 +327,10 @@
             self.overfull += 1
 
 
+def _nothing(worker: WorkerId, entry: WorkerEntry | None) -> None:
+    """Have no store to write to."""
+
+
 def _make_entry(load: CellLoad, number: int) -> WorkerEntry:
     name = f'w-{number}'
     return WorkerEntry(
