Judge the crash of a worker: suspect tasks that had just begun, try them apart, give up

Cause: a worker that crashes tells of no end, and only told ends were counted, so a task that crashes its workers was started for ever (class: an end inferred from silence takes the path of innocent ends, and no bound covers that path). Change: each unannounced end of a worker adds to the suspicion of the tasks there, by three sights: had the run just begun, was it tried apart, do others crash too. The count is in the job's progress, so it outlives owners. Suspects run alone on the worker where least is at stake, closed to others for 1 s. What was held against a worker that was only cut off is taken back. Given up jobs say why in their record, in 'job over', in metrics.

--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -20,6 +20,7 @@
         'owner changed',
         'owner ends',
         'run lost',
+        'task suspected',
         'shard load',
         'shard taken over',
         'started',
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -197,6 +197,13 @@
             'queue',
             'ending',
         )
+        self.suspicions = self._count(
+            'task_crashes',
+            'Runs under which a worker ended, by queue and what became of '
+            'their task.',
+            'queue',
+            'outcome',
+        )
         self.worker_ends = self._count(
             'workers_ended',
             'Lives of workers that ended, by how.',
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -22,6 +22,12 @@
 _STALLED_AFTER: Seconds = 1.5
 
 
+#: Time after its start within which a run counts as a cause of its worker's
+#: crash, a hundred times what it took where it was met. Longer, more runs are
+#: suspected that only happened to begin then, and trials last longer.
+PROVEN_AFTER: Seconds = 1.0
+
+
 class TaskRole(Enum):
     """How a task gets on with others on its worker."""
 
@@ -79,8 +85,8 @@
     #: Whether the order to start it went out, or it was found there: else the
     #: worker has never heard of it.
     ordered: bool = False
-    #: When a listing showed it last; 0 before the first does.
-    seen_at: Seconds = 0
+    #: Whether the task is suspected, and tried apart from others.
+    trial: bool = False
     share_done: float = 0
     #: When `share_done` changed last; 0 before the first listing shows it.
     progress_at: Seconds = 0
@@ -97,15 +103,6 @@
             return False
         return now - self.progress_at > _STALLED_AFTER
 
-    def shown_for(self) -> Seconds:
-        """Return how long after its start a listing still showed the run.
-
-        It is 0 if none did: the worker may have ended with the start.
-        """
-        if not self.seen_at or self.confirmed_at == math.inf:
-            return 0
-        return max(0, self.seen_at - self.confirmed_at)
-
     def _waits_for_gang(self) -> bool:
         """Whether other members may not have come or not have ended yet."""
         return not self.share_done or self.share_done >= _ALL_BUT_DONE
@@ -149,6 +146,8 @@
         self.rests_until: Seconds = 0
         #: Whether something that runs here makes no progress.
         self.stalled = False
+        #: Suspected runs that have not outlived their start.
+        self.trials: set[RunKey] = set()
         self._unsized = 0
         self.pace = Pace.USUAL
         #: False once the worker's entry is gone for good: it has left, or
@@ -176,7 +175,7 @@
         answers = session.reachable and not session.over
         if not answers or not self.listed:
             return False
-        if self._unsized or self.stalled:
+        if self._unsized or self.stalled or self.trials:
             return False
         return self.entry.state is WorkerState.READY and now >= self.rests_until
 
@@ -194,6 +193,8 @@
         else:
             self.free -= run.size
         self.count_by_step[step_key] += 1
+        if run.trial:
+            self.trials.add(run.key)
         if run.task is not None:
             self.count_by_role[role_of(run.task.step.spec)] += 1
             self.urgent_millicores += _urgent_share(run)
@@ -203,6 +204,7 @@
         run = self.run_by_key.pop(key, None)
         if run is None:
             return None
+        self.trials.discard(key)
         if run.size is None:
             self._unsized -= 1
         else:
@@ -229,6 +231,31 @@
         self.free += size
         return True
 
+    def at_stake(self) -> tuple[int, int]:
+        """Return how many young runs, and runs, a crash here would involve."""
+        runs = self.run_by_key.values()
+        return sum(not self.proven(run) for run in runs), len(runs)
+
+    @property
+    def runs_suspect(self) -> bool:
+        """Whether a suspected task runs here, also one past its trial."""
+        return any(run.trial for run in self.run_by_key.values())
+
+    def outlived(self, run: PlacedRun) -> Seconds:
+        """Return for how long the worker was heard after a run's start.
+
+        It is 0 if it was not: the worker may have ended with the start.
+        """
+        return max(0, self.session.heard_at - run.confirmed_at)
+
+    def proven(self, run: PlacedRun) -> bool:
+        """Whether the worker has outlived the start of a run.
+
+        A task that ends its workers does so at once: 10 ms after each start
+        where it was met.
+        """
+        return self.outlived(run) >= PROVEN_AFTER
+
     def bears(self, spec: StepSpec) -> bool:
         """Whether a step's tasks get on with what runs here."""
         other = _KEPT_APART.get(role_of(spec))
@@ -236,6 +263,8 @@
 
     def copies(self, step_key: str, size: Size, most: int) -> int:
         """Return how many more tasks of a step have room here."""
+        if self.trials:
+            return 0
         fitting = size.times_in(self.free)
         if most:
             return min(fitting, most - self.count_by_step[step_key])
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -46,7 +46,12 @@
         Workers that may be used.
     """
     spec = step.spec
+    suspects = [task for task in tasks if task.suspected]
+    if suspects and not spec.gang:
+        return _choose_apart(step, tasks, suspects, open_books)
     ordered = _ordered(step, open_books)
+    if suspects:
+        ordered.sort(key=WorkerBooks.at_stake)
     if spec.one_rack and spec.gang:
         within = _within_one_rack(step, tasks, ordered)
         if within:
@@ -57,6 +62,37 @@
     return chosen
 
 
+def _choose_apart(
+    step: StepState,
+    tasks: list[Task],
+    suspects: list[Task],
+    open_books: list[WorkerBooks],
+) -> list[Placement]:
+    """Place suspected tasks each on a worker of its own.
+
+    They take the worker where least is lost if it crashes, and where nothing
+    else began of late that could be the cause. None waits for an empty one: in
+    a busy cell it would wait for long.
+    """
+    others = [task for task in tasks if not task.suspected]
+    chosen = choose_workers(step, others, open_books) if others else []
+    used = {placement.books.worker for placement in chosen}
+    spec = step.spec
+    for task in suspects:
+        fitting = [
+            books
+            for books in open_books
+            if books.worker not in used
+            and books.copies(step.key, spec.charged, spec.most_per_worker) > 0
+        ]
+        if not fitting:
+            break
+        books = min(fitting, key=WorkerBooks.at_stake)
+        used.add(books.worker)
+        chosen.append(Placement(task, books))
+    return chosen
+
+
 def _ordered(
     step: StepState,
     open_books: list[WorkerBooks],
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -10,8 +10,19 @@
 import structlog
 
 from orchidrail.journal.writer import Commit
-from orchidrail.shard.books import PlacedRun, WorkerBooks, note_progress
-from orchidrail.shard.crashes import LifeEnd
+from orchidrail.shard.books import (
+    PROVEN_AFTER,
+    PlacedRun,
+    WorkerBooks,
+    note_progress,
+)
+from orchidrail.shard.crashes import (
+    CrashWatch,
+    LifeEnd,
+    LostRun,
+    lost_runs,
+    suspicion_of,
+)
 from orchidrail.shard.placing import Placement
 from orchidrail.shard.ranking import due_at
 from orchidrail.shard.standing import Standings
@@ -19,7 +30,7 @@
 from orchidrail.tasks import TaskSet
 from orchidrail.types import RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Job, StepState, Task
-from orchidrail.work.records import TaskPhase
+from orchidrail.work.records import FailureCause, TaskPhase
 from orchidrail.workers.port import (
     ActiveRun,
     EndedRun,
@@ -33,6 +44,9 @@
 _log = structlog.get_logger()
 _STOP_AGAIN: Seconds = 0.3
 _STOP_TRIES = 30
+#: Time at work after which a task is no longer suspected: far longer than any
+#: trial; a task that lasts would add up the crashes of days.
+_CLEARED_AFTER: Seconds = 10.0
 #: Results after which the worker has certainly not started the run.
 _NOT_STARTED = frozenset(
     (
@@ -78,6 +92,9 @@
         """Start without runs."""
         self._stop_takes = stop_takes
         self._standings = Standings()
+        self._crash_watch = CrashWatch()
+        #: Suspicion that goes if the worker turns out to be alive.
+        self._doubted_by_worker: dict[WorkerId, list[tuple[Task, int]]] = {}
         self._state = state
         self._fenced = on_fenced
         self._tasks = TaskSet('order')
@@ -147,6 +164,7 @@
     ) -> list[Awaitable[bool]]:
         """See `Observer.on_listing`."""
         books = self._state.books_by_worker[session.worker]
+        self._clear_doubted(session.worker)
         touched: dict[str, Job] = {}
         seen: set[RunKey] = set()
         for active in listing.active:
@@ -195,11 +213,20 @@
         """Take all that a worker ran for ended."""
         touched: dict[str, Job] = {}
         books = self._state.books_by_worker.get(worker)
-        lost = list(books.run_by_key.values()) if books else []
+        unresolved = self._state.unresolved_by_worker.pop(worker, [])
+        lost: list[PlacedRun] = []
+        suspects: list[LostRun] = []
+        if books is not None:
+            lost = list(books.run_by_key.values())
+            suspects = lost_runs(books)
+            for run in lost:
+                self._log_lost(books, run, end)
+        # What an earlier owner saw of its runs is not known.
+        suspects += [LostRun(*one, True, False) for one in unresolved]
+        self._suspect(worker, suspects, end)
         for run in lost:
-            self._log_lost(worker, run, end, len(lost))
             self._lose(books, run, touched)
-        for task, number in self._state.unresolved_by_worker.pop(worker, ()):
+        for task, number in unresolved:
             self._requeue(task, number, touched)
         for job in touched.values():
             self._settle(job)
@@ -212,28 +239,85 @@
                 jobs=list(touched),
             )
 
-    def _log_lost(
+    def _suspect(
         self,
         worker: WorkerId,
+        suspects: list[LostRun],
+        end: LifeEnd,
+    ) -> None:
+        """Judge what a worker's end tells of the tasks that were there."""
+        if end is LifeEnd.LEFT:
+            return
+        now = self._state.clock()
+        every = self._state.books_by_worker
+        calm = self._crash_watch.calm(every.values(), now)
+        self._crash_watch.note_end(every.get(worker), now)
+        doubted: list[tuple[Task, int]] = []
+        for lost in suspects:
+            job = lost.task.step.job
+            added = suspicion_of(lost, end, calm)
+            if not job.ended and job.note_crash(lost.task, lost.run, added):
+                doubted.append((lost.task, added))
+                self._log_suspected(worker, lost, added, calm)
+        if end is not LifeEnd.CRASHED:
+            self._doubted_by_worker[worker] = doubted
+
+    def _log_suspected(
+        self,
+        worker: WorkerId,
+        lost: LostRun,
+        added: int,
+        calm: bool,
+    ) -> None:
+        task = lost.task
+        job = task.step.job
+        given_up = job.cause is FailureCause.CRASHED_WORKERS
+        outcome = 'given up' if given_up else 'suspected'
+        self._state.metrics.suspicions.labels(
+            self._state.metrics.queue(job.queue.name),
+            outcome,
+        ).inc()
+        _log.info(
+            'task suspected',
+            task=task.key,
+            run=lost.run,
+            worker=worker,
+            young=lost.young,
+            trial=lost.trial,
+            calm=calm,
+            added=added,
+            suspicion=task.suspicion,
+            crashes=task.crashes,
+            outcome=outcome,
+        )
+
+    def _clear_doubted(self, worker: WorkerId) -> None:
+        """Take back what was held against tasks of a worker that is alive."""
+        for task, added in self._doubted_by_worker.pop(worker, ()):
+            task.step.job.take_back_crash(task, added)
+            _log.info('suspicion taken back', task=task.key, worker=worker)
+
+    def _log_lost(
+        self,
+        books: WorkerBooks,
         run: PlacedRun,
         end: LifeEnd,
-        lost: int,
     ) -> None:
         """Tell what is known of a run whose worker is gone.
 
-        Runs that had just begun may be the cause; those that a listing showed
-        long after their start are not.
+        Runs that had just begun may be the cause; those that it outlived for
+        long are not.
         """
         _log.info(
             'run lost',
             task=run.key.task,
             run=run.key.run,
-            worker=worker,
+            worker=books.worker,
             reason=end.value,
             ordered=run.ordered,
             answered=run.confirmed_at < math.inf,
-            shown_for=round(run.shown_for(), 3),
-            others=lost - 1,
+            outlived=round(books.outlived(run), 3),
+            others=len(books.run_by_key) - 1,
         )
 
     def _place(self, placement: Placement, gang_run: RunNumber) -> RunKey:
@@ -244,10 +328,23 @@
         key = RunKey(task.key, run)
         step.job.place(task, run, books.worker)
         now = self._state.clock()
-        placed = PlacedRun(key, step.spec.charged, task, now)
+        placed = PlacedRun(
+            key,
+            step.spec.charged,
+            task,
+            now,
+            trial=task.suspected,
+        )
         books.charge(placed, step.key)
         return key
 
+    def _look_after_trial(self, books: WorkerBooks) -> None:
+        """Look as soon as a listing can end a trial, to free its worker."""
+        asyncio.get_running_loop().call_later(
+            PROVEN_AFTER,
+            books.session.look_soon,
+        )
+
     def _doubt_start(self, key: RunKey, books: WorkerBooks) -> None:
         """Take a start whose task failed for one without an answer."""
         run = books.run_by_key.get(key)
@@ -277,12 +374,17 @@
             task.step.checkpoint_for(task),
             ticket,
         )
+        # A start that was refused has nothing to do with its worker's end.
+        run.ordered = answer.result not in _NOT_STARTED
+        books.session.take_answer(answer)
         now = self._state.clock()
         self._state.metrics.orders.labels(answer.result.value).inc()
         if answer.result in _REST_AFTER:
             books.rest(now)
         if answer.result is OrderResult.TAKEN:
             run.confirmed_at = now
+            if run.trial:
+                self._look_after_trial(books)
             return
         _log.info(
             'start not confirmed',
@@ -349,15 +451,26 @@
             run = self._adopt(books, active)
         now = self._state.clock()
         note_progress(run, active.share_done, now)
-        run.seen_at = now
         if run.confirmed_at == math.inf:
             run.confirmed_at = now
         task = run.task
         if task is not None and active.checkpoint:
             task.checkpoint = active.checkpoint
+        self._note_outlived(books, run)
         if not self._wanted(run):
             self.stop(books, run)
 
+    def _note_outlived(self, books: WorkerBooks, run: PlacedRun) -> None:
+        """End a trial that is past; clear a task that has worked for long."""
+        if run.key in books.trials and books.proven(run):
+            books.trials.discard(run.key)
+            self._state.wanted.set()
+        task = run.task
+        cleared = books.outlived(run) > _CLEARED_AFTER
+        if task is not None and task.suspicion and cleared:
+            task.suspicion = 0
+            _log.info('task cleared', task=task.key, worker=books.worker)
+
     def _wanted(self, run: PlacedRun) -> bool:
         task = run.task
         if task is None or task.step.job.ended:
@@ -376,6 +489,7 @@
             now,
             confirmed_at=now,
             ordered=True,
+            trial=task is not None and task.suspected,
         )
         books.charge(run, active.key.task.rpartition('.')[0])
         unlogged = (
@@ -512,6 +626,8 @@
             'job over',
             job=job.job_id,
             phase=job.phase.name.lower(),
+            cause=job.cause.value,
+            crashes=job.crashes(),
             queue=job.queue.name,
             took=round(self._state.wall_clock() - job.record.accepted_at, 3),
             expected=round(due_at(job) - job.record.accepted_at, 3),
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -107,6 +107,11 @@
         if not job.ended:
             rows = Progress(job.rows())
             return self.writer.put(progress_key(job.job_id), encode(rows))
-        record = EndedRecord(job.phase, self.wall_clock(), job.queue.name)
+        record = EndedRecord(
+            job.phase,
+            self.wall_clock(),
+            job.queue.name,
+            job.cause,
+        )
         self.writer.put(progress_key(job.job_id), b'')
         return self.writer.put(job_key(job.job_id), encode(record))
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -33,6 +33,7 @@
     Listing,
     OrderAnswer,
     OrderResult,
+    StartOrder,
     WorkerEntry,
     WorkerState,
 )
@@ -66,6 +67,34 @@
         return await super().hold(entry, order, timeout)
 
 
+class _OtherLives(FakeWorker):
+    """Some workers have crashed; starts on the others get no answer."""
+
+    def __init__(self, *crashed: str) -> None:
+        super().__init__()
+        self.crashed = set(crashed)
+
+    async def start(
+        self,
+        entry: WorkerEntry,
+        order: StartOrder,
+        timeout: Seconds,
+    ) -> OrderAnswer:
+        """See `WorkerCalls.start`."""
+        return OrderAnswer(OrderResult.UNKNOWN)
+
+    async def hold(
+        self,
+        entry: WorkerEntry,
+        order: HoldOrder,
+        timeout: Seconds,
+    ) -> Listing | OrderAnswer:
+        """See `WorkerCalls.hold`."""
+        if entry.worker in self.crashed:
+            return OrderAnswer(OrderResult.OTHER_LIFE)
+        return await super().hold(entry, order, timeout)
+
+
 class FleetTest(AsyncTestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -136,6 +165,28 @@
 
         self.play(scene)
 
+    def test_a_crash_that_an_earlier_owner_did_not_see_counts(self) -> None:
+        """Two owners in a row find that the worker of a task has crashed."""
+
+        async def scene(owner: ShardOwner) -> None:
+            spec = JobSpec('text', (StepSpec(1),))
+            queue = make_job(StepSpec(1)).queue
+            self.assertTrue(await owner.submit(_JOB, queue, spec))
+            await asyncio.sleep(_READ)
+            crashed = ['w-1']
+            for epoch in (1, 2):
+                await self.list_worker(listed=True, name=f'w-1{epoch}')
+                following = await self.take(epoch, _OtherLives(*crashed))
+                running = asyncio.create_task(following.run())
+                await asyncio.sleep(2 * _READ)
+                task = following.state.job_by_id[_JOB].find_task(0, 0, 0)
+                assert task is not None
+                self.assertEqual(epoch, task.crashes)
+                crashed.append(task.worker)
+                running.cancel()
+
+        self.play(scene)
+
     async def _drain(self, owner: ShardOwner) -> WorkerBooks:
         """Have the worker say that it leaves, and then answer no more."""
         entry = make_entry()
--- a/orchidrail/shard/tests/test_lost_runs.py
+++ b/orchidrail/shard/tests/test_lost_runs.py
@@ -27,13 +27,13 @@
             await asyncio.sleep(_SOON)
             with capture_logs() as lines:
                 await shard.crash()
-            shown_by_task = {
-                line['task']: line['shown_for']
+            outlived_by_task = {
+                line['task']: line['outlived']
                 for line in lines
                 if line['event'] == 'run lost'
             }
-            self.assertEqual(0, shown_by_task[newer.tasks[0].key])
-            self.assertGreater(shown_by_task[older.tasks[0].key], 0)
+            self.assertEqual(0, outlived_by_task[newer.tasks[0].key])
+            self.assertGreater(outlived_by_task[older.tasks[0].key], 0)
 
         self.play(scene)
 
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -15,6 +15,7 @@
 from orchidrail.work.permits import Permits
 from orchidrail.work.records import (
     ENDED_PHASES,
+    FailureCause,
     JobPhase,
     JobRecord,
     Progress,
@@ -24,6 +25,10 @@
 from orchidrail.work.waits import Waits
 from orchidrail.workers.port import RunEnding
 
+#: Suspicion of crashing workers from which a task is tried apart from others.
+_SUSPECTED_AT = 2
+#: Suspicion from which a task is given up, and its job with it.
+GIVEN_UP_AT = 8
 _ENDINGS_THAT_COUNT = frozenset((RunEnding.FAILED,))
 
 
@@ -32,6 +37,7 @@
 
     __slots__ = (
         'checkpoint',
+        'crashes',
         'failures',
         'index',
         'oldest_run',
@@ -39,6 +45,7 @@
         'run',
         'settled_runs',
         'step',
+        'suspicion',
         'worker',
     )
 
@@ -51,6 +58,9 @@
         self.worker = WorkerId('')
         self.failures = 0
         self.checkpoint = ''
+        #: Workers that ended under it, and how far that speaks against it.
+        self.crashes = 0
+        self.suspicion = 0
         #: Runs whose ends were taken, or that were given up.
         self.settled_runs: set[RunNumber] = set()
         #: Earlier runs ended under an owner before, which judged them.
@@ -61,6 +71,11 @@
         """The task's name at the workers."""
         return TaskKey(f'{self.step.key}.{self.index}')
 
+    @property
+    def suspected(self) -> bool:
+        """Whether it may be what ends its workers."""
+        return self.suspicion >= _SUSPECTED_AT
+
     def row(self) -> TaskRow:
         """Return what the journal keeps of the task."""
         return TaskRow(
@@ -72,6 +87,8 @@
             self.worker,
             self.failures,
             self.checkpoint,
+            self.crashes,
+            self.suspicion,
         )
 
     def restore(self, row: TaskRow) -> None:
@@ -81,6 +98,8 @@
         self.worker = row.worker
         self.failures = row.failures
         self.checkpoint = row.checkpoint
+        self.crashes = row.crashes
+        self.suspicion = row.suspicion
         judged = self.phase is not TaskPhase.PLACED
         self.oldest_run = RunNumber(row.run + 1) if judged else row.run
 
@@ -98,6 +117,8 @@
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
         #: Gang runs whose failure was counted; members share them.
         self.failed_runs: set[RunNumber] = set()
+        #: The same for runs whose workers ended.
+        self.crashed_runs: set[RunNumber] = set()
         self.permits = Permits()
         #: Workers on which its tasks failed; others are tried first.
         self.failed_on: set[WorkerId] = set()
@@ -142,6 +163,7 @@
         self.job_id = job_id
         self.record = record
         self.phase = JobPhase.QUEUED
+        self.cause = FailureCause.NONE
         self.begun = False
         #: Whether the journal is known to have the job.
         self.accepted = False
@@ -271,6 +293,31 @@
         if ending in _ENDINGS_THAT_COUNT:
             self._count_failure(task, run)
 
+    def note_crash(self, task: Task, run: RunNumber, suspicion: int) -> bool:
+        """Note that a worker ended under a run; tell whether that counted.
+
+        A gang is suspected as one, once a run. Unlike attempts this counts for
+        lasting tasks too: the workers that they end are gone for all.
+        """
+        step = task.step
+        if task.phase is not TaskPhase.PLACED or task.run != run:
+            return False
+        if not suspicion or (step.spec.gang and run in step.crashed_runs):
+            return False
+        step.crashed_runs.add(run)
+        for member in _counted_with(task):
+            member.crashes += 1
+            member.suspicion += suspicion
+        if task.suspicion >= GIVEN_UP_AT:
+            self._give_up(FailureCause.CRASHED_WORKERS)
+        return True
+
+    def take_back_crash(self, task: Task, suspicion: int) -> None:
+        """Take back a crash of a worker that has turned out to be alive."""
+        for member in _counted_with(task):
+            member.crashes -= 1
+            member.suspicion = max(0, member.suspicion - suspicion)
+
     def note_run(self, took: Seconds, worker: WorkerId) -> None:
         """Note how long a run took, to explain later what held the job up."""
         if took > self.longest_run:
@@ -281,6 +328,10 @@
         """Return how many runs of its tasks failed."""
         return sum(row.failures for row in self.rows())
 
+    def crashes(self) -> int:
+        """Return how many workers ended under the worst of its tasks."""
+        return max((row.crashes for row in self.rows()), default=0)
+
     def placed_on(self) -> set[WorkerId]:
         """Return the workers that its tasks were given to."""
         steps = itertools.chain.from_iterable(self._steps_by_round.values())
@@ -319,14 +370,18 @@
         if step.spec.gang and run in step.failed_runs:
             return
         step.failed_runs.add(run)
-        members = step.tasks if step.spec.gang else [task]
+        members = _counted_with(task)
         counted = max(member.failures for member in members) + 1
         for member in members:
             member.failures = counted
         if task.step.spec.lasting:
             return
         if counted >= self.queue.max_attempts:
-            self.phase = JobPhase.FAILED
+            self._give_up(FailureCause.ATTEMPTS)
+
+    def _give_up(self, cause: FailureCause) -> None:
+        self.phase = JobPhase.FAILED
+        self.cause = cause
 
     def _all_done(self) -> bool:
         return all(
@@ -334,3 +389,8 @@
             for round_number in range(self.spec.rounds)
             for step in self.steps(round_number)
         )
+
+
+def _counted_with(task: Task) -> list[Task]:
+    """Return the tasks that share one count: of a gang all."""
+    return task.step.tasks if task.step.spec.gang else [task]
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import NamedTuple
 
 import msgspec
@@ -51,6 +51,16 @@
     DONE = 2
 
 
+class FailureCause(Enum):
+    """Why a job was given up; the words are those of the journal."""
+
+    NONE = ''
+    #: A task failed as often as its queue allows.
+    ATTEMPTS = 'attempts'
+    #: A task ended the workers that started it.
+    CRASHED_WORKERS = 'crashedWorkers'
+
+
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
     """Who owns the shard; `epoch` fences all orders of earlier owners."""
 
@@ -74,6 +84,7 @@
     phase: JobPhase
     ended_at: Seconds
     queue: str = ''
+    cause: FailureCause = FailureCause.NONE
 
 
 class TaskRow(msgspec.Struct, array_like=True):
@@ -87,6 +98,9 @@
     worker: WorkerId = WorkerId('')
     failures: int = 0
     checkpoint: str = ''
+    #: Workers that ended under it, and how far that speaks against it.
+    crashes: int = 0
+    suspicion: int = 0
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -107,6 +108,8 @@
         #: Whether any look was answered: older orders are void since then.
         self.fence_raised = False
         self.lost_at: Seconds | None = clock()
+        #: When this life answered last.
+        self.heard_at: Seconds = -math.inf
         self._calls = calls
         self._observer = observer
         self._clock = clock
@@ -121,6 +124,11 @@
         """The life that this session deals with."""
         return self.entry.worker
 
+    @property
+    def fallen_silent(self) -> bool:
+        """Whether the worker answered before and does not now."""
+        return self.fence_raised and not self.reachable and not self.over
+
     async def run(self) -> None:
         """Look again and again until this life of the worker is over."""
         while not self.over:
@@ -133,12 +141,15 @@
         checkpoint: str,
         ticket: str,
     ) -> tuple[OrderAnswer, Seconds]:
-        """Order a start; also return its deadline on the worker's clock."""
+        """Order a start; also return its deadline on the worker's clock.
+
+        The caller passes the answer on to `take_answer`, once it has noted for
+        the run what it says: it may end this life and all that runs here.
+        """
         deadline = self.lease.clock_at(self._clock()) + START_LIFE
         self.lease.promise(deadline)
         order = StartOrder(key, text, deadline, self.epoch, checkpoint, ticket)
         answer = await self._calls.start(self.entry, order, _START_TIMEOUT)
-        self._take_answer(answer)
         if answer.result is OrderResult.UNKNOWN:
             # A look after the deadline tells whether the run is there.
             left = deadline - self.lease.clock_at(self._clock())
@@ -154,7 +165,7 @@
             self.epoch,
             _STOP_TIMEOUT,
         )
-        self._take_answer(answer)
+        self.take_answer(answer)
         return answer
 
     def look_soon(self) -> None:
@@ -172,9 +183,11 @@
             self.reachable = False
             self._observer.on_life_over(self)
 
-    def _take_answer(self, answer: OrderAnswer) -> None:
+    def take_answer(self, answer: OrderAnswer) -> None:
+        """Take what an answer tells of the worker's life and clock."""
         if answer.clock is not None:
-            self.lease.observe(answer.clock, self._clock())
+            self.heard_at = self._clock()
+            self.lease.observe(answer.clock, self.heard_at)
         if answer.result is OrderResult.OTHER_LIFE:
             self.end_life()
         elif answer.result is OrderResult.FENCED:
@@ -204,7 +217,8 @@
 
     async def _take_listing(self, listing: Listing, sent_at: Seconds) -> None:
         first = not self.lease.known
-        self.lease.observe(listing.clock, self._clock())
+        self.heard_at = self._clock()
+        self.lease.observe(listing.clock, self.heard_at)
         if first:
             self.lease.adopt(self._clock())
         if not self.reachable:
@@ -222,7 +236,7 @@
             self._last_seen = max(self._last_seen, *numbers)
 
     async def _take_failure(self, answer: OrderAnswer) -> None:
-        self._take_answer(answer)
+        self.take_answer(answer)
         self._failures += 1
         if self._failures < _LOOKS_FAILED and not self.over:
             return
