Follow a worker's room while it shrinks and grows

Cause: a worker's capacity was read when its life was first listed; later entries changed its state only, so starts went by a room that it no longer had. Ruled out: to stop what runs over the new room (only starts may not pass it, and stopping throws work away). Figures: model, half of the workers at 0.4 of their room for 8 s: starts over the room, test failed without the change, 0 with it.

--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -179,6 +179,19 @@
             return False
         return self.entry.state is WorkerState.READY and now >= self.rests_until
 
+    def take_entry(self, entry: WorkerEntry) -> None:
+        """Take what the worker says of itself now; its room may have changed.
+
+        What runs keeps its room: `free` is negative until enough has ended.
+        """
+        self.free += entry.capacity - self.entry.capacity
+        self.entry = entry
+
+    @property
+    def overfull(self) -> bool:
+        """Whether more is placed here than the worker has room for now."""
+        return min(self.free) < 0
+
     def rest(self, now: Seconds, seconds: Seconds = _REST) -> None:
         """Give the worker no new work for a while."""
         self.rests_until = max(self.rests_until, now + seconds)
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -177,16 +177,23 @@
         if books is None:
             self._open_session(entry)
             return
-        if books.entry.state is not entry.state:
+        before = books.entry
+        books.take_entry(entry)
+        changed = (entry.state, entry.capacity) != (
+            before.state,
+            before.capacity,
+        )
+        if changed:
             _log.info(
                 'worker changed',
                 worker=worker,
                 state=entry.state.value,
                 leaves_in=entry.leaves_in,
+                capacity=entry.capacity,
+                free=books.free,
             )
             self._state.wanted.set()
             self._state.keep_worker(entry)
-        books.entry = entry
 
     def _open_session(self, entry: WorkerEntry) -> None:
         lease = RunLease(self._longest_lease, self._doubt_until)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -364,7 +364,8 @@
         job = task.step.job
         if run is None or not await commit.wait():
             return
-        if run.stopping or job.ended:
+        if run.stopping or job.ended or books.overfull:
+            # The worker's room may have shrunk since the run was placed.
             self._not_started(books, run, OrderResult.NOT_SENT)
             return
         run.ordered = True
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -113,6 +113,7 @@
                 self._watch_liveness(owner),
                 self._harm(),
                 self._crash(),
+                self._shrink(),
             )
             for work in works:
                 stack.callback(asyncio.create_task(work).cancel)
@@ -213,6 +214,12 @@
                 self.workers.crash_some(crashes.share)
                 await asyncio.sleep(crashes.every)
 
+    async def _shrink(self) -> None:
+        loop = asyncio.get_running_loop()
+        for shrinkage in self._load.shrinkages:
+            await asyncio.sleep(max(0, _LEAD + shrinkage.at - loop.time()))
+            self.workers.shrink_some(shrinkage)
+
     def _judge(self, processor_s: Seconds) -> Outcome:
         jobs = [
             self._ended_by_id.get(job_id, EndedJob(drawn, None, None))
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -152,6 +152,15 @@
     share: float
 
 
+class Shrinkage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A share of the workers has only part of its room for a while."""
+
+    at: Seconds
+    lasts: Seconds
+    share: float
+    left: float
+
+
 class CellLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One modelled day.
 
@@ -180,6 +189,7 @@
     surges: list[Surge] = []
     outages: list[Outage] = []
     crashes: list[Crashes] = []
+    shrinkages: list[Shrinkage] = []
 
 
 class DrawnJob(NamedTuple):
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import zlib
 from collections import Counter
 from collections.abc import Callable
@@ -26,7 +27,7 @@
     StartOrder,
     WorkerEntry,
 )
-from standins.model.load import SERVICE, CellLoad, DrawnJob
+from standins.model.load import SERVICE, CellLoad, DrawnJob, Shrinkage
 
 #: One way over the network.
 _TRAVELS: Seconds = 0.001
@@ -36,6 +37,9 @@
 #: An entry goes after three heartbeats without a write, counted from the last.
 _ENTRY_LASTS: Seconds = 4.5
 _HEARTBEAT: Seconds = 1.5
+#: Time after which starts must heed a room that has changed: the time in which
+#: machines must be in touch, and one heartbeat.
+_ROOM_HEARD_WITHIN: Seconds = 4.5
 #: Crashes of a task after which its starts are counted.
 _CRASHES_ALLOWED = 3
 
@@ -60,6 +64,8 @@
         self.ended: list[EndedRun] = []
         self.changed = asyncio.Event()
         self.over = False
+        #: Since when it has the room that its entry names.
+        self.room_since: Seconds = -math.inf
         self._number = 0
 
     def crash(self) -> list[RunKey]:
@@ -140,6 +146,28 @@
         self.by_id[worker.entry.worker] = worker
         self._current_by_address[worker.entry.address] = worker
 
+    def shrink_some(self, shrinkage: Shrinkage) -> None:
+        """Let a share of the workers have less room for a while."""
+        loop = asyncio.get_running_loop()
+        every = list(self._current_by_address.values())
+        count = round(shrinkage.share * len(every))
+        for worker in self._random.sample(every, count):
+            whole = worker.entry.capacity
+            part = Size(*(int(shrinkage.left * one) for one in whole))
+            self._resize(worker, part)
+            loop.call_later(shrinkage.lasts, self._resize, worker, whole)
+
+    def _resize(self, worker: ModelWorker, room: Size) -> None:
+        """Change a worker's room, and its entry with the next heartbeat."""
+        loop = asyncio.get_running_loop()
+        worker.entry = msgspec.structs.replace(worker.entry, capacity=room)
+        worker.room_since = loop.time()
+        name = worker.entry.worker
+        loop.call_later(
+            _HEARTBEAT * self._random.random(),
+            lambda: worker.over or self.publish(name, worker.entry),
+        )
+
     def crash_some(self, share: float) -> None:
         """Let a share of the workers crash by chance."""
         every = list(self._current_by_address.values())
@@ -323,7 +351,9 @@
         for run in (*worker.run_by_key, key):
             job, step, _ = self._drawn(run)
             used += job.spec.steps[step].size
-        if not used.fits(worker.entry.capacity):
+        now = asyncio.get_running_loop().time()
+        judged = now - worker.room_since > _ROOM_HEARD_WITHIN
+        if judged and not used.fits(worker.entry.capacity):
             self.overfull += 1
 
 
--- a/standins/tests/test_model.py
+++ b/standins/tests/test_model.py
@@ -15,7 +15,7 @@
 from testtools import TestCase
 
 from standins.model import CellLoad, CellModel, Outcome, QueueLoad, Surge
-from standins.model.load import Draw, Outage
+from standins.model.load import Draw, Outage, Shrinkage
 
 _URGENT = QueueLoad(
     name='urgent',
@@ -89,6 +89,13 @@
         outcome = _play(load)
         self.assertEqual((0, 0), (outcome.overfull, outcome.doubled))
 
+    def test_no_worker_is_overfilled_whose_room_shrinks(self) -> None:
+        load = msgspec.structs.replace(
+            _CELL,
+            shrinkages=[Shrinkage(at=3, lasts=8, share=0.5, left=0.4)],
+        )
+        self.assertEqual(0, _play(load).overfull)
+
 
 class ExperimentTest(TestCase):
     def test_the_command_prints_a_row_for_each_seed(self) -> None:
