Judge elapsed time by one clock that counts the time of a suspension

Cause: time.monotonic stands still while an instance is suspended, so an owner that woke took its last proof, its leases and its silences for fresh, and the event loop's timers ran late by as much. Ruled out: to notice a suspension by comparing two clocks in each place. Change: orchidrail/clocks.py has the clock, the loop and the way to run a program; every process and every default goes by it.

--- a/orchidrail/gateway/main.py
+++ b/orchidrail/gateway/main.py
@@ -10,6 +10,7 @@
 import structlog
 import uvicorn
 
+from orchidrail.clocks import run_program
 from orchidrail.gateway.daemon import GatewayDaemon
 from orchidrail.gateway.http_api import HttpApi
 from orchidrail.process import open_ports, open_transport, start_process
@@ -35,7 +36,7 @@
     settings : str
         Path of its settings file, JSON with comments.
     """
-    asyncio.run(serve(start_process(settings, GatewaySettings)))
+    run_program(serve(start_process(settings, GatewaySettings)))
 
 
 async def serve(settings: GatewaySettings) -> None:
--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -11,6 +11,7 @@
 import structlog
 from result import Ok
 
+from orchidrail.clocks import elapsed
 from orchidrail.ingress.desk import JobDesk
 from orchidrail.instance.config_follower import ConfigFollower
 from orchidrail.instance.hand_over import HandOverDesk
@@ -75,22 +76,22 @@
             uuid.uuid4().hex,
             settings.speed,
         )
-        self.table = PeerTable(self.me, time.monotonic)
+        self.table = PeerTable(self.me, elapsed)
         self._store_caller = RelayedCaller(
             self._call_store,
-            StoreRelays(self.table, self._transport, time.monotonic).call,
-            time.monotonic,
+            StoreRelays(self.table, self._transport, elapsed).call,
+            elapsed,
             self._note_store_call,
         )
         self._store = PlatformLog(self._store_caller)
         self._journal = JournalView(self._store, Topic(JOURNAL_NAME))
-        self.ownership = Ownership(self.table, self._journal, time.monotonic)
+        self.ownership = Ownership(self.table, self._journal, elapsed)
         self._pinger = Pinger(
             self.table,
             self._transport,
             self.ownership.describe,
             random.Random(),
-            time.monotonic,
+            elapsed,
         )
         self._advice = PlatformAdvice(
             self._caller,
@@ -127,7 +128,7 @@
             self._journal,
             self._service.handle,
             lambda: self.ownership.owner,
-            time.monotonic,
+            elapsed,
             self.metrics,
         )
         self.stopping = False
@@ -199,7 +200,7 @@
             PlatformWorkers(self._caller),
             documents.decode_worker,
             self._ask_advice,
-            time.monotonic,
+            elapsed,
             time.time,
             self.table.store_away,
             lease_for(self.settings.bounds.longest_lease),
--- a/orchidrail/instance/main.py
+++ b/orchidrail/instance/main.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import time
 from collections.abc import Generator
 from contextlib import AsyncExitStack, contextmanager, suppress
 
@@ -14,6 +13,7 @@
 import uvicorn
 from blacksheep import Application
 
+from orchidrail.clocks import elapsed, run_program
 from orchidrail.instance.daemon import InstanceDaemon
 from orchidrail.instance.metrics_api import metrics_app
 from orchidrail.instance.settings import InstanceSettings
@@ -128,14 +128,14 @@
 
 async def _finish(daemon: InstanceDaemon, servers: _Servers) -> None:
     """Hand over, wait until no new callers come, and end their requests."""
-    began = time.monotonic()
+    began = elapsed()
     _log.info('stopping')
     await daemon.stop()
     await asyncio.sleep(_UNNOTICED)
     for server, _ in servers:
         server.should_exit = True
     grace = daemon.settings.bounds.grace * _GRACE_SHARE
-    left = grace - (time.monotonic() - began)
+    left = grace - (elapsed() - began)
     await asyncio.wait([task for _, task in servers], timeout=left)
 
 
@@ -154,7 +154,7 @@
     path = os.environ[_SETTINGS_VARIABLE]
     settings = load_settings(path)
     configure_logs('info', daemon=settings.name, zone=settings.zone)
-    asyncio.run(serve(path, settings))
+    run_program(serve(path, settings))
 
 
 if __name__ == '__main__':
--- a/orchidrail/logs.py
+++ b/orchidrail/logs.py
@@ -5,13 +5,13 @@
 import logging
 import os
 import sys
-import time
 from collections import Counter
 from collections.abc import Callable, MutableMapping
 from typing import Any, TextIO, cast
 
 import structlog
 
+from orchidrail.clocks import elapsed
 from orchidrail.types import Seconds
 
 #: Lines of one kind written in one period; the rest is counted.
@@ -136,7 +136,7 @@
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
-            LineLimit(LINES_OF_A_KIND, time.monotonic),
+            LineLimit(LINES_OF_A_KIND, elapsed),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             structlog.processors.dict_tracebacks,
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 import socket
-import time
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
@@ -13,6 +12,7 @@
 import aiohttp
 import structlog
 
+from orchidrail.clocks import elapsed
 from orchidrail.store.relay import RawAnswer, RawCall
 from orchidrail.tasks import TaskSet
 from orchidrail.types import Address, Seconds
@@ -75,7 +75,7 @@
         Monotonic seconds.
     """
 
-    def __init__(self, clock: Callable[[], Seconds] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], Seconds] = elapsed) -> None:
         """Open no connection yet; must be made inside the event loop."""
         self._clock = clock
         self._pool_by_address: dict[Address, _Pool] = {}
--- a/orchidrail/process.py
+++ b/orchidrail/process.py
@@ -7,6 +7,7 @@
 from contextlib import AsyncExitStack
 from typing import TypeVar
 
+from orchidrail.clocks import elapsed
 from orchidrail.logs import configure_logs
 from orchidrail.logservice.http import HttpPlatform
 from orchidrail.scheduler.ports import Ports
@@ -53,7 +54,7 @@
         transport,
         platform,
         platform,
-        time.monotonic,
+        elapsed,
         time.time,
         random.Random(),
     )
--- a/orchidrail/scheduler/main.py
+++ b/orchidrail/scheduler/main.py
@@ -11,6 +11,7 @@
 import structlog
 from prometheus_client import start_http_server
 
+from orchidrail.clocks import run_program
 from orchidrail.process import open_ports, open_transport, start_process
 from orchidrail.scheduler.daemon import SchedulerDaemon
 from orchidrail.scheduler.reporter import MetricsReporter
@@ -33,7 +34,7 @@
     settings : str
         Path of its settings file, JSON with comments.
     """
-    asyncio.run(serve(start_process(settings, SchedulerSettings)))
+    run_program(serve(start_process(settings, SchedulerSettings)))
 
 
 async def serve(settings: SchedulerSettings) -> None:
--- a/orchidrail/types.py
+++ b/orchidrail/types.py
@@ -29,7 +29,7 @@
 Offset = NewType('Offset', int)
 #: Number of an accepted bundle; grows by one with each published draft.
 BundleVersion = NewType('BundleVersion', int)
-#: Seconds, either a duration or a reading of a monotonic clock.
+#: Seconds, either a duration or a reading of `orchidrail.clocks.elapsed`.
 Seconds = float
 
 
