Tell callers why a job was given up; the soak crashes workers by tasks and shrinks rooms

Cause: a job that was given up showed its state alone; the soak had neither tasks that crash their workers nor rooms that shrink, so it could not see either. Ruled out: a field in the body of the answer, whose form callers know. Change: the record's cause goes from owner to gateway to a header of the answer.

--- a/orchidrail/ingress/desk.py
+++ b/orchidrail/ingress/desk.py
@@ -12,7 +12,7 @@
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.table import PeerTable
-from orchidrail.shard.owner import ShardOwner, stored_phase
+from orchidrail.shard.owner import ShardOwner, stored_cause, stored_phase
 from orchidrail.types import CallFailure, JobId, Seconds, WorkCode
 from orchidrail.wire.messages import (
     CancelWork,
@@ -23,7 +23,12 @@
 )
 from orchidrail.wire.transport import CallResult, Transport
 from orchidrail.work.model import JobSpec, QueueSettings
-from orchidrail.work.records import ENDED_PHASES, JobPhase, encode
+from orchidrail.work.records import (
+    ENDED_PHASES,
+    FailureCause,
+    JobPhase,
+    encode,
+)
 
 _log = structlog.get_logger()
 #: Pause before the owner is looked for again.
@@ -50,6 +55,8 @@
     code: WorkCode
     phase: JobPhase = JobPhase.QUEUED
     retry_after: Seconds = 0
+    #: Why the job was given up, if it was.
+    cause: FailureCause = FailureCause.NONE
 
 
 _REFUSED = DeskAnswer(WorkCode.NOT_TAKEN, retry_after=_COME_BACK_AFTER)
@@ -151,9 +158,13 @@
         known = seen is not None and self._table.cut_off()
         if seen in ENDED_PHASES or known:
             assert seen is not None
-            return DeskAnswer(WorkCode.OK, seen)
+            return self._answer_from_journal(job_id, seen)
         return await self._ask_until(QueryWork(job_id=job_id), patience)
 
+    def _answer_from_journal(self, job_id: JobId, seen: JobPhase) -> DeskAnswer:
+        cause = stored_cause(job_id, self._view.value_by_key)
+        return DeskAnswer(WorkCode.OK, seen, cause=cause)
+
     async def cancel(self, job_id: JobId, patience: Seconds) -> DeskAnswer:
         """Cancel a job."""
         return await self._ask_until(CancelWork(job_id=job_id), patience)
@@ -220,7 +231,11 @@
             if isinstance(answer, Ok):
                 word = answer.ok_value
                 if word.code in {WorkCode.OK, WorkCode.NO_SUCH_JOB}:
-                    return DeskAnswer(word.code, JobPhase(word.phase))
+                    return DeskAnswer(
+                        word.code,
+                        JobPhase(word.phase),
+                        cause=FailureCause(word.cause),
+                    )
             elif isinstance(message, QueryWork):
                 found = await self._look_up(message.job_id)
                 if found is not None:
@@ -234,7 +249,7 @@
         phase = stored_phase(job_id, self._view.value_by_key)
         if phase is None:
             return DeskAnswer(WorkCode.NO_SUCH_JOB)
-        return DeskAnswer(WorkCode.OK, phase)
+        return self._answer_from_journal(job_id, phase)
 
     async def _ask_owner(
         self,
--- a/orchidrail/instance/peer_service.py
+++ b/orchidrail/instance/peer_service.py
@@ -115,7 +115,11 @@
         phase = owner.phase(message.job_id)
         if phase is None:
             return await _unknown_job(owner)
-        return WorkAnswer(code=WorkCode.OK, phase=int(phase))
+        return WorkAnswer(
+            code=WorkCode.OK,
+            phase=int(phase),
+            cause=owner.cause(message.job_id).value,
+        )
 
     @_answer.register
     async def _(self, message: CancelWork) -> Message:
--- a/orchidrail/instance/tests/test_peer_service.py
+++ b/orchidrail/instance/tests/test_peer_service.py
@@ -18,6 +18,7 @@
 from orchidrail.types import Address, Epoch, InstanceId, JobId, WorkCode
 from orchidrail.wire.messages import Message, QueryWork
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
+from orchidrail.work.records import FailureCause, JobPhase
 from orchidrail.work.tests.test_job import make_job
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
@@ -64,6 +65,22 @@
 
         self.run_async(scene())
 
+    def test_an_owner_tells_why_a_job_was_given_up(self) -> None:
+        async def scene() -> None:
+            owner = await self.take(0)
+            serving = asyncio.create_task(owner.run())
+            queue = make_job(StepSpec(1)).queue
+            await owner.submit(_JOB, queue, JobSpec('t', (StepSpec(1),)))
+            job = owner.state.job_by_id.pop(_JOB)
+            job.phase = JobPhase.FAILED
+            job.cause = FailureCause.CRASHED_WORKERS
+            await owner.state.save(job).wait()
+            answer = cast('Any', await self.ask(owner))
+            self.assertEqual('crashedWorkers', answer.cause)
+            serving.cancel()
+
+        self.run_async(scene())
+
     def test_a_confirmed_owner_denies_a_job(self) -> None:
         async def scene() -> None:
             owner = await self.take(0)
--- a/orchidrail/platform/callers.py
+++ b/orchidrail/platform/callers.py
@@ -18,11 +18,13 @@
 from orchidrail.platform.documents import decode_job
 from orchidrail.types import JobId, Seconds, WorkCode
 from orchidrail.work.model import CellConfig, QueueSettings
-from orchidrail.work.records import JobPhase
+from orchidrail.work.records import FailureCause, JobPhase
 
 _JSON = b'application/json'
 _DEADLINE_HEADER = b'X-Orchidrail-Deadline-Ms'
 _RETRY_HEADER = b'Retry-After'
+#: Says of a job that was given up why; the body has the state alone.
+_CAUSE_HEADER = b'X-Orchidrail-Failure-Cause'
 _ID_LENGTH = 16
 _HEX = frozenset(string.hexdigits.lower())
 _MILLIS = 1000
@@ -214,7 +216,10 @@
 
 def _state(answer: DeskAnswer) -> Response:
     if answer.code is WorkCode.OK:
-        return _json(_WORD_BY_PHASE[answer.phase])
+        response = _json(_WORD_BY_PHASE[answer.phase])
+        if answer.cause is not FailureCause.NONE:
+            response.add_header(_CAUSE_HEADER, answer.cause.value.encode())
+        return response
     return _text(_READ_STATUS[answer.code], answer.code.value)
 
 
--- a/orchidrail/platform/tests/test_callers.py
+++ b/orchidrail/platform/tests/test_callers.py
@@ -13,6 +13,7 @@
 from orchidrail.testing import AsyncTestCase
 from orchidrail.types import WorkCode
 from orchidrail.work.model import CellConfig, IngressLimits, StepSpec
+from orchidrail.work.records import FailureCause, JobPhase
 from orchidrail.work.tests.test_job import make_job
 
 _MOST = 100
@@ -47,6 +48,13 @@
     async def submit(self, *_: object) -> DeskAnswer:
         return DeskAnswer(WorkCode.OK)
 
+    async def query(self, *_: object) -> DeskAnswer:
+        return DeskAnswer(
+            WorkCode.OK,
+            JobPhase.FAILED,
+            cause=FailureCause.CRASHED_WORKERS,
+        )
+
 
 class CallersTest(AsyncTestCase):
     def status(self, *pieces: bytes | None) -> int:
@@ -60,6 +68,15 @@
         answering = api._answer(cast('Any', _Request(*pieces)))
         return self.run_async(answering).status
 
+    def test_a_job_that_was_given_up_says_why(self) -> None:
+        request = _Request()
+        request.method = 'GET'
+        config = CellConfig(1, (make_job(StepSpec(1)).queue,))
+        api = CallerApi(cast('Any', _Desk()), lambda: config, bool)
+        response = self.run_async(api._answer(cast('Any', request)))
+        cause = response.get_first_header(b'X-Orchidrail-Failure-Cause')
+        self.assertEqual(b'crashedWorkers', cause)
+
     def test_a_body_in_pieces_is_taken(self) -> None:
         self.assertEqual(200, self.status(_BODY[:9], _BODY[9:]))
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -25,6 +25,7 @@
 from orchidrail.work.records import (
     ENDED_PHASES,
     EndedRecord,
+    FailureCause,
     JobPhase,
     JobRecord,
     TaskPhase,
@@ -236,6 +237,10 @@
             return stored_phase(job_id, value_by_key)
         return JobPhase.QUEUED if job_id in self.state.job_by_id else None
 
+    def cause(self, job_id: JobId) -> FailureCause:
+        """Return why a job was given up, as the journal has it."""
+        return stored_cause(job_id, self.writer.view.value_by_key)
+
     async def cancel(self, job_id: JobId) -> JobPhase | None:
         """Cancel a job; return its phase then, None if there is none."""
         job = self.state.job_by_id.get(job_id)
@@ -338,3 +343,16 @@
     if isinstance(stored.record, EndedRecord):
         return stored.record.phase
     return JobPhase.RUNNING if stored.progress.rows else JobPhase.QUEUED
+
+
+def stored_cause(
+    job_id: JobId,
+    value_by_key: dict[str, bytes],
+) -> FailureCause:
+    """Return why a job was given up, as a journal has it."""
+    if job_key(job_id) not in value_by_key:
+        return FailureCause.NONE
+    record = read_job(job_id, value_by_key).record
+    if isinstance(record, EndedRecord):
+        return record.cause
+    return FailureCause.NONE
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -486,11 +486,15 @@
 
 
 class WorkAnswer(Message, frozen=True):
-    """The owner's word on a job; `phase` is a number of `JobPhase`."""
+    """The owner's word on a job; `phase` is a number of `JobPhase`.
+
+    `cause` is a word of `FailureCause`, empty unless the job was given up.
+    """
 
     code: WorkCode
     phase: int = 0
     retry_after: float = 0
+    cause: str = ''
 
 
 class RelayCall(Message, frozen=True):
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -387,6 +387,7 @@
   code @0 :WorkCode;
   phase @1 :Int64;
   retryAfter @2 :Float64;
+  cause @3 :Text;
 }
 
 struct RelayCall {
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,7 @@
 _DEADLINE = 3.0
 _TRIES = 4
 _ASK_EVERY = 0.4
+_CRASHING_SHARE = 0.02
 _STEPS: tuple[list[dict[str, Any]], ...] = (
     [{'count': 2, 'cpu': 2000, 'memMb': 100, 'estimatedMs': 300}],
     [{'count': 1, 'cpu': 1000, 'memMb': 100, 'estimatedMs': 100}],
@@ -50,12 +51,14 @@
         addresses: list[str],
         ledger: Ledger,
         random: Random,
+        crashing: Random | None,
     ) -> None:
-        """Open no connection yet."""
+        """Open no connection yet; without `crashing` no job crashes workers."""
         self.endings: Counter[str] = Counter()
         self._addresses = addresses
         self._ledger = ledger
         self._random = random
+        self._crashing = crashing
         self._tasks: set[asyncio.Task[None]] = set()
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=_DEADLINE),
@@ -84,7 +87,7 @@
         return [
             job
             for job in self._ledger.job_by_id.values()
-            if job.accepted and not job.cancel_sent and job.state != 'completed'
+            if job.accepted and not job.cancel_sent and not job.over
         ]
 
     def _spawn(self, work: Any) -> None:
@@ -95,7 +98,9 @@
     def _make_job(self) -> SentJob:
         job_id = f'{self._random.getrandbits(64):016x}'
         steps = self._random.choice(_STEPS)
-        job = SentJob(job_id, f'text-{job_id}', steps)
+        # Drawn by itself, so that seeds kept from before play as they did.
+        crashing = self._crashing and self._crashing.random() < _CRASHING_SHARE
+        job = SentJob(job_id, f'text-{job_id}', steps, bool(crashing))
         self._ledger.job_by_id[job_id] = job
         return job
 
@@ -104,7 +109,7 @@
         if job.accepted and self._random.random() < 0.06:
             await asyncio.sleep(self._random.uniform(0, 1))
             await self._cancel(job)
-        while job.accepted and not job.cancel_sent and job.state != 'completed':
+        while job.accepted and not job.cancel_sent and not job.over:
             await asyncio.sleep(_ASK_EVERY)
             await self._ask(job)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -62,6 +62,13 @@
             instance.signal(signal.SIGCONT)
             await instance.start()
 
+    async def shrink_rooms(self, until: float, random: Random | None) -> None:
+        """Have workers lose half of their room now and then."""
+        while random is not None and time.monotonic() < until:
+            await asyncio.sleep(random.uniform(0, 4))
+            self.count['shrink_room'] += 1
+            await random.choice(self._workers).shrink(random.uniform(0, 4))
+
     def _some_time(self, most: float = 5) -> float:
         return self._random.uniform(0.3, most)
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -7,6 +7,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+#: Crashes of a task that are its own doing, after which its starts count.
+MOST_CRASHES = 3
+#: Starts after these that break a promise.
+STARTS_TOO_MANY = 3
+#: Crashes of a task after which its job may be given up.
+LEAST_CRASHES = 2
 #: Seconds after an acknowledged cancel in which starts may still come.
 CANCEL_WITHIN = 3.0
 
@@ -18,6 +24,8 @@
     job_id: str
     text: str
     steps: list[dict[str, Any]]
+    #: Whether its first task crashes each worker that starts it.
+    crashing: bool = False
     accepted: bool = False
     #: Whether some try may have had an effect.
     doubtful: bool = False
@@ -25,6 +33,11 @@
     cancelled_at: float | None = None
     state: str = ''
 
+    @property
+    def over(self) -> bool:
+        """Whether it is shown as what it should end as."""
+        return self.state == ('failed' if self.crashing else 'completed')
+
 
 @dataclass
 class TaskLog:
@@ -36,6 +49,9 @@
     #: Whether the end `done` was acknowledged.
     done_noted: bool = False
     failures: int = 0
+    #: Workers that it has crashed, and starts after too many of them.
+    crashes: int = 0
+    late_starts: int = 0
 
 
 class Ledger:
@@ -62,6 +78,9 @@
             return
         task = self.task_by_key[key]
         task.starts += 1
+        task.late_starts += task.crashes >= MOST_CRASHES
+        if task.late_starts >= STARTS_TOO_MANY:
+            self.breach('BUDGET', f'{key} after {task.crashes} crashes')
         if task.running:
             self.breach('TWICE', f'{key} on {worker} and {task.running}')
         if task.done_noted:
@@ -92,7 +111,11 @@
             self.breach('LOST', f'{job.job_id} is not known')
         if state == 'completed' and not self._all_done(job):
             self.breach('MIXED', f'{job.job_id} shown as completed too early')
-        if state in {'failed', 'cancelled'} and not job.cancel_sent:
+        given_up = job.crashing and state == 'failed'
+        if given_up and self._most_crashes(job) < LEAST_CRASHES:
+            self.breach('LOST', f'{job.job_id} given up too early')
+        ended = state in {'failed', 'cancelled'} and not given_up
+        if ended and not job.cancel_sent:
             self.breach('LOST', f'{job.job_id} shown as {state}')
         job.state = state or job.state
 
@@ -105,9 +128,12 @@
             if started and not job.accepted and not job.doubtful:
                 self.breach('REFUSED', f'{job.job_id} ran all the same')
             owed = job.accepted and not job.cancel_sent
-            if owed and job.state != 'completed':
+            if owed and not job.over:
                 self.breach('LOST', f'{job.job_id} ends as {job.state!r}')
 
+    def _most_crashes(self, job: SentJob) -> int:
+        return max(self.task_by_key[key].crashes for key in _task_keys(job))
+
     def _step_done(self, job: SentJob, number: int) -> bool:
         count = job.steps[number]['count']
         keys = (f'{job.job_id}.0.{number}.{index}' for index in range(count))
--- a/soak/run.py
+++ b/soak/run.py
@@ -73,10 +73,20 @@
         side need one each.
     folder : pathlib.Path
         For settings files and logs.
+    crashing : bool
+        Whether some jobs crash workers, and rooms shrink.
     """
 
-    def __init__(self, seed: int, slot: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        slot: int,
+        folder: pathlib.Path,
+        *,
+        crashing: bool,
+    ) -> None:
         """Prepare; nothing is started yet."""
+        self._crashing = Random(f'crashing {seed}') if crashing else None
         self.ledger = Ledger()
         self._network = f'127.{slot}'
         self._random = Random(seed)
@@ -116,7 +126,12 @@
         async with AsyncExitStack() as stack:
             await self._open(stack)
             addresses = [instance.callers for instance in self._instances]
-            callers = Callers(addresses, self.ledger, self._random)
+            callers = Callers(
+                addresses,
+                self.ledger,
+                self._random,
+                self._crashing,
+            )
             stack.push_async_callback(callers.close)
             await self._wait_until_ready()
             faults = Faults(
@@ -129,6 +144,7 @@
             await asyncio.gather(
                 callers.run(until + 2, per_second),
                 faults.run(until),
+                faults.shrink_rooms(until, self._crashing),
             )
             await callers.settle(_SETTLE)
             self.ledger.judge_end()
@@ -215,10 +231,12 @@
     slot: int = 1,
     seconds: float = 20,
     logs: str = '',
+    *,
+    crashing: bool = True,
 ) -> Outcome:
     """Play one seed; logs are kept in the folder `logs` if it is given."""
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(logs or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, slot, folder)
+        soak = Soak(seed, slot, folder, crashing=crashing)
         return asyncio.run(soak.play(seconds, _PER_SECOND))
--- a/soak/tests/test_ledger.py
+++ b/soak/tests/test_ledger.py
@@ -65,3 +65,24 @@
     def test_a_job_shown_as_completed_too_early(self) -> None:
         self.ledger.note_state(self.job, 200, 'completed')
         self.assert_broken('MIXED')
+
+    def test_a_task_that_crashes_workers_is_started_too_often(self) -> None:
+        self.job.crashing = True
+        self.ledger.task_by_key[_TASK].crashes = 3
+        for worker in ('w-1', 'w-2', 'w-3'):
+            self.assertEqual([], self.ledger.broken)
+            self.ledger.note_start(_TASK, 'text', worker)
+            self.ledger.note_end(_TASK, worker, 'crashed')
+        self.assert_broken('BUDGET')
+
+    def test_a_job_that_is_given_up_after_one_crash(self) -> None:
+        self.job.crashing = True
+        self.ledger.task_by_key[_TASK].crashes = 1
+        self.ledger.note_state(self.job, 200, 'failed')
+        self.assert_broken('LOST')
+
+    def test_a_crashing_job_that_is_never_given_up(self) -> None:
+        self.job.crashing = True
+        self.job.accepted = True
+        self.ledger.judge_end()
+        self.assert_broken('LOST')
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -38,4 +38,5 @@
     def test_seeds_that_once_failed_break_no_promise(self) -> None:
         for seed in _failed_seeds():
             with self.subTest(seed=seed):
-                self.check(play(seed, _OTHER_SLOT, _AGAIN))
+                outcome = play(seed, _OTHER_SLOT, _AGAIN, crashing=False)
+                self.check(outcome)
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -22,6 +22,10 @@
 _STOP_TAKES = 0.2
 _GANG_WAIT = 3.0
 _DRAINS_FOR = 2.0
+#: From the start of a task to the crash that it causes.
+_CRASHES_AFTER = 0.01
+#: Room that shrank counts after the time of being in touch and a heartbeat.
+_ROOM_HEARD_WITHIN = 4.5
 #: An entry goes after three heartbeats of 1.5 s.
 _ENTRY_LAPSES = 4.5
 _lives = itertools.count(1)
@@ -51,6 +55,8 @@
         """Start the first life."""
         self.address = address
         self.cores = 16_000
+        #: What starts may use: room that shrinks counts a while later.
+        self._judged_cores = self.cores
         self._rack = f'r-{number % 2}'
         self._store = store
         self._ledger = ledger
@@ -95,6 +101,28 @@
         loop.call_later(_ENTRY_LAPSES, self._leave, self.life)
         self.begin_life()
 
+    def _crashes(self, task: str) -> bool:
+        """Whether a task is the one of its job that crashes workers."""
+        job_id, _, step, index = task.split('.')
+        job = self._ledger.job_by_id.get(job_id)
+        return job is not None and job.crashing and step == index == '0'
+
+    def _crash_by(self, task: str, life: str) -> None:
+        if self.life == life:
+            self._ledger.task_by_key[task].crashes += 1
+            self.crash()
+
+    async def shrink(self, seconds: float) -> None:
+        """Have half of the room for a while, and say so."""
+        whole = self.cores
+        self.cores = whole // 2
+        self.enter('ready')
+        await asyncio.sleep(_ROOM_HEARD_WITHIN)
+        self._judged_cores = self.cores
+        await asyncio.sleep(seconds)
+        self.cores = self._judged_cores = whole
+        self.enter('ready')
+
     async def drain(self, *, silently: bool) -> None:
         """Leave as planned, saying so or not, then come back empty."""
         if silently:
@@ -147,8 +175,15 @@
             return answer(409, {'clockMs': now_ms, 'reason': 'old'})
         self._ledger.note_start(order['taskId'], order['spec'], self.life)
         self._run_by_key[key] = self._make_run(*key)
+        if self._crashes(order['taskId']):
+            asyncio.get_running_loop().call_later(
+                _CRASHES_AFTER,
+                self._crash_by,
+                order['taskId'],
+                self.life,
+            )
         used = sum(run.size for run in self._run_by_key.values())
-        if used > self.cores:
+        if used > self._judged_cores:
             self._ledger.breach('LIMIT', f'{self.life} runs {used}')
         return answer(200, {'clockMs': now_ms})
 
