Split the tracker of runs: what ends mean, and who is to blame, in modules of their own

Change: run_ends.py settles jobs, blame.py keeps the suspicion, crashes.py has the sights and their weights; jobs that ends touch are gathered in one place. No change of decisions.

--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -1,4 +1,4 @@
-"""Starting and stopping runs, and what their ends mean for their jobs."""
+"""Starting and stopping runs, and following what workers tell of them."""
 
 from __future__ import annotations
 
@@ -10,33 +10,25 @@
 import structlog
 
 from orchidrail.journal.writer import Commit
+from orchidrail.shard.blame import CrashJudge
 from orchidrail.shard.books import (
     PROVEN_AFTER,
     PlacedRun,
     WorkerBooks,
     note_progress,
 )
-from orchidrail.shard.crashes import (
-    CrashWatch,
-    LifeEnd,
-    LostRun,
-    lost_runs,
-    suspicion_of,
-)
+from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.placing import Placement
-from orchidrail.shard.ranking import due_at
-from orchidrail.shard.standing import Standings
+from orchidrail.shard.run_ends import RunEnds
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
 from orchidrail.types import RunNumber, Seconds, WorkerId
-from orchidrail.work.job import Job, StepState, Task
-from orchidrail.work.records import FailureCause, TaskPhase
+from orchidrail.work.job import Job, StepState
+from orchidrail.work.records import TaskPhase
 from orchidrail.workers.port import (
     ActiveRun,
-    EndedRun,
     Listing,
     OrderResult,
-    RunEnding,
     RunKey,
 )
 from orchidrail.workers.session import START_LIFE, WorkerSession
@@ -44,9 +36,6 @@
 _log = structlog.get_logger()
 _STOP_AGAIN: Seconds = 0.3
 _STOP_TRIES = 30
-#: Time at work after which a task is no longer suspected: far longer than any
-#: trial; a task that lasts would add up the crashes of days.
-_CLEARED_AFTER: Seconds = 10.0
 #: Results after which the worker has certainly not started the run.
 _NOT_STARTED = frozenset(
     (
@@ -91,11 +80,9 @@
     ) -> None:
         """Start without runs."""
         self._stop_takes = stop_takes
-        self._standings = Standings()
-        self._crash_watch = CrashWatch()
-        #: Suspicion that goes if the worker turns out to be alive.
-        self._doubted_by_worker: dict[WorkerId, list[tuple[Task, int]]] = {}
         self._state = state
+        self._ends = RunEnds(state, self.stop, self.stop_job)
+        self._judge = CrashJudge(state)
         self._fenced = on_fenced
         self._tasks = TaskSet('order')
 
@@ -164,38 +151,38 @@
     ) -> list[Awaitable[bool]]:
         """See `Observer.on_listing`."""
         books = self._state.books_by_worker[session.worker]
-        self._clear_doubted(session.worker)
-        touched: dict[str, Job] = {}
+        self._judge.take_back(session.worker)
         seen: set[RunKey] = set()
         for active in listing.active:
             seen.add(active.key)
             self._see_active(books, active)
         for ended in listing.ended:
             seen.add(ended.key)
-            self._end(books, ended, touched)
+            self._ends.end(books, ended)
         self._look_for_stalled(books)
+        self._take_gone(books, listing, seen, sent_at)
+        if self._ends.settle_all() or listing.ended:
+            self._state.wanted.set()
+        # Ends listed again may still wait for the write of their first time.
+        return [self._state.writer.flush()] if listing.ended else []
+
+    def _take_gone(
+        self,
+        books: WorkerBooks,
+        listing: Listing,
+        seen: set[RunKey],
+        sent_at: Seconds,
+    ) -> None:
+        """Take the runs that a listing should show and doesn't for ended."""
         for run in list(books.run_by_key.values()):
             if run.key not in seen and _surely_gone(run, listing, sent_at):
-                self._lose(books, run, touched)
+                self._ends.lose(books, run)
         for task, number in self._state.unresolved_by_worker.pop(
-            session.worker,
+            books.worker,
             (),
         ):
             if RunKey(task.key, number) not in seen:
-                self._requeue(task, number, touched)
-        return self._settle_all(listing, touched)
-
-    def _settle_all(
-        self,
-        listing: Listing,
-        touched: dict[str, Job],
-    ) -> list[Awaitable[bool]]:
-        if listing.ended or touched:
-            self._state.wanted.set()
-        for job in touched.values():
-            self._settle(job)
-        # Ends listed again may still wait for the write of their first time.
-        return [self._state.writer.flush()] if listing.ended else []
+                self._ends.requeue(task, number)
 
     def on_life_over(self, session: WorkerSession) -> None:
         """See `Observer.on_life_over`."""
@@ -211,115 +198,23 @@
 
     def give_up_worker(self, worker: WorkerId, end: LifeEnd) -> None:
         """Take all that a worker ran for ended."""
-        touched: dict[str, Job] = {}
-        books = self._state.books_by_worker.get(worker)
         unresolved = self._state.unresolved_by_worker.pop(worker, [])
-        lost: list[PlacedRun] = []
-        suspects: list[LostRun] = []
+        self._judge.note_end(worker, unresolved, end)
+        books = self._state.books_by_worker.get(worker)
         if books is not None:
-            lost = list(books.run_by_key.values())
-            suspects = lost_runs(books)
-            for run in lost:
-                self._log_lost(books, run, end)
-        # What an earlier owner saw of its runs is not known.
-        suspects += [LostRun(*one, True, False) for one in unresolved]
-        self._suspect(worker, suspects, end)
-        for run in lost:
-            self._lose(books, run, touched)
+            for run in list(books.run_by_key.values()):
+                self._ends.lose(books, run)
         for task, number in unresolved:
-            self._requeue(task, number, touched)
-        for job in touched.values():
-            self._settle(job)
-        self._state.metrics.worker_ends.labels(end.value).inc()
+            self._ends.requeue(task, number)
+        touched = self._ends.settle_all()
         if touched:
             _log.info(
                 'worker given up',
                 worker=worker,
                 reason=end.value,
-                jobs=list(touched),
+                jobs=[job.job_id for job in touched],
             )
 
-    def _suspect(
-        self,
-        worker: WorkerId,
-        suspects: list[LostRun],
-        end: LifeEnd,
-    ) -> None:
-        """Judge what a worker's end tells of the tasks that were there."""
-        if end is LifeEnd.LEFT:
-            return
-        now = self._state.clock()
-        every = self._state.books_by_worker
-        calm = self._crash_watch.calm(every.values(), now)
-        self._crash_watch.note_end(every.get(worker), now)
-        doubted: list[tuple[Task, int]] = []
-        for lost in suspects:
-            job = lost.task.step.job
-            added = suspicion_of(lost, end, calm)
-            if not job.ended and job.note_crash(lost.task, lost.run, added):
-                doubted.append((lost.task, added))
-                self._log_suspected(worker, lost, added, calm)
-        if end is not LifeEnd.CRASHED:
-            self._doubted_by_worker[worker] = doubted
-
-    def _log_suspected(
-        self,
-        worker: WorkerId,
-        lost: LostRun,
-        added: int,
-        calm: bool,
-    ) -> None:
-        task = lost.task
-        job = task.step.job
-        given_up = job.cause is FailureCause.CRASHED_WORKERS
-        outcome = 'given up' if given_up else 'suspected'
-        self._state.metrics.suspicions.labels(
-            self._state.metrics.queue(job.queue.name),
-            outcome,
-        ).inc()
-        _log.info(
-            'task suspected',
-            task=task.key,
-            run=lost.run,
-            worker=worker,
-            young=lost.young,
-            trial=lost.trial,
-            calm=calm,
-            added=added,
-            suspicion=task.suspicion,
-            crashes=task.crashes,
-            outcome=outcome,
-        )
-
-    def _clear_doubted(self, worker: WorkerId) -> None:
-        """Take back what was held against tasks of a worker that is alive."""
-        for task, added in self._doubted_by_worker.pop(worker, ()):
-            task.step.job.take_back_crash(task, added)
-            _log.info('suspicion taken back', task=task.key, worker=worker)
-
-    def _log_lost(
-        self,
-        books: WorkerBooks,
-        run: PlacedRun,
-        end: LifeEnd,
-    ) -> None:
-        """Tell what is known of a run whose worker is gone.
-
-        Runs that had just begun may be the cause; those that it outlived for
-        long are not.
-        """
-        _log.info(
-            'run lost',
-            task=run.key.task,
-            run=run.key.run,
-            worker=books.worker,
-            reason=end.value,
-            ordered=run.ordered,
-            answered=run.confirmed_at < math.inf,
-            outlived=round(books.outlived(run), 3),
-            others=len(books.run_by_key) - 1,
-        )
-
     def _place(self, placement: Placement, gang_run: RunNumber) -> RunKey:
         """Take the room for a run and note it in its job."""
         task, books = placement
@@ -409,10 +304,8 @@
             return
         if result is OrderResult.NO_TICKET:
             run.task.step.permits.expire(books.worker)
-        touched: dict[str, Job] = {}
-        self._lose(books, run, touched)
-        for job in touched.values():
-            self._settle(job)
+        self._ends.lose(books, run)
+        self._ends.settle_all()
 
     async def _stop(self, books: WorkerBooks, run: PlacedRun) -> None:
         for _ in range(_STOP_TRIES):
@@ -457,21 +350,10 @@
         task = run.task
         if task is not None and active.checkpoint:
             task.checkpoint = active.checkpoint
-        self._note_outlived(books, run)
+        self._judge.note_outlived(books, run)
         if not self._wanted(run):
             self.stop(books, run)
 
-    def _note_outlived(self, books: WorkerBooks, run: PlacedRun) -> None:
-        """End a trial that is past; clear a task that has worked for long."""
-        if run.key in books.trials and books.proven(run):
-            books.trials.discard(run.key)
-            self._state.wanted.set()
-        task = run.task
-        cleared = books.outlived(run) > _CLEARED_AFTER
-        if task is not None and task.suspicion and cleared:
-            task.suspicion = 0
-            _log.info('task cleared', task=task.key, worker=books.worker)
-
     def _wanted(self, run: PlacedRun) -> bool:
         task = run.task
         if task is None or task.step.job.ended:
@@ -504,144 +386,6 @@
             self._state.changed_jobs.add(task.step.job.job_id)
         return run
 
-    def _end(
-        self,
-        books: WorkerBooks,
-        ended: EndedRun,
-        touched: dict[str, Job],
-    ) -> None:
-        run = books.release(ended.key)
-        task = self._state.find_task(ended.key.task)
-        if task is None:
-            return
-        job = task.step.job
-        before = task.phase, task.run, task.failures
-        job.end_run(task, ended.key.run, ended.ending, ended.checkpoint)
-        if before == (task.phase, task.run, task.failures):
-            return
-        touched[job.job_id] = job
-        self._state.metrics.endings.labels(
-            self._state.metrics.queue(job.queue.name),
-            ended.ending.value,
-        ).inc()
-        if run is not None and ended.ending is RunEnding.DONE:
-            self._learn_pace(books, run, task)
-        self._judge(books, task, ended.ending)
-        if ended.ending is not RunEnding.DONE:
-            _log.info(
-                'run ended',
-                task=ended.key.task,
-                run=ended.key.run,
-                worker=books.worker,
-                ending=ended.ending.value,
-                failures=task.failures,
-            )
-        if ended.ending in (RunEnding.LAPSED, RunEnding.ALONE):
-            self._break_gang(task)
-
-    def _learn_pace(
-        self,
-        books: WorkerBooks,
-        run: PlacedRun,
-        task: Task,
-    ) -> None:
-        spec = task.step.spec
-        took = self._state.clock() - run.confirmed_at
-        if not math.isfinite(took):
-            return
-        task.step.job.note_run(took, books.worker)
-        if spec.gang or task.checkpoint:
-            return
-        paces = self._state.paces
-        paces.note(books.worker, task.step.job.queue.name, took, spec.estimate)
-        books.pace = paces.of(books.worker)
-
-    def _judge(
-        self,
-        books: WorkerBooks,
-        task: Task,
-        ending: RunEnding,
-    ) -> None:
-        """Draw conclusions about the worker from how a run ended."""
-        if ending is RunEnding.DONE:
-            self._standings.note_success(books.worker)
-        if ending is not RunEnding.FAILED:
-            return
-        task.step.failed_on.add(books.worker)
-        now = self._state.clock()
-        rest = self._standings.note_failure(
-            books.worker,
-            task.step.job.job_id,
-            now,
-            len(self._state.books_by_worker),
-        )
-        if rest:
-            books.rest(now, rest)
-            _log.info('worker rests', worker=books.worker, seconds=rest)
-
-    def _lose(
-        self,
-        books: WorkerBooks | None,
-        run: PlacedRun,
-        touched: dict[str, Job],
-    ) -> None:
-        """Take a run for ended that left no end behind."""
-        if books is not None:
-            books.release(run.key)
-        if run.task is not None:
-            self._requeue(run.task, run.key.run, touched)
-
-    def _requeue(
-        self,
-        task: Task,
-        number: RunNumber,
-        touched: dict[str, Job],
-    ) -> None:
-        if task.phase is not TaskPhase.PLACED or task.run != number:
-            return
-        job = task.step.job
-        job.end_run(task, task.run, RunEnding.LAPSED, '')
-        touched[job.job_id] = job
-        self._break_gang(task)
-
-    def _break_gang(self, task: Task) -> None:
-        """Stop the other members of a gang that has lost one."""
-        if not task.step.spec.gang:
-            return
-        for member in task.step.tasks:
-            if member.phase is not TaskPhase.PLACED:
-                continue
-            books = self._state.books_by_worker.get(member.worker)
-            key = RunKey(member.key, member.run)
-            run = books.run_by_key.get(key) if books else None
-            if books is not None and run is not None:
-                self.stop(books, run)
-
-    def _settle(self, job: Job) -> Commit:
-        """Save a job after its runs changed; end what is left if it is over."""
-        self._state.note_change(job)
-        commit = self._state.save(job)
-        if not job.ended:
-            return commit
-        _log.info(
-            'job over',
-            job=job.job_id,
-            phase=job.phase.name.lower(),
-            cause=job.cause.value,
-            crashes=job.crashes(),
-            queue=job.queue.name,
-            took=round(self._state.wall_clock() - job.record.accepted_at, 3),
-            expected=round(due_at(job) - job.record.accepted_at, 3),
-            failures=job.failures(),
-            waits=job.waits.describe(self._state.clock()),
-            longest_run=round(job.longest_run, 3),
-            longest_at=job.longest_at,
-        )
-        self._state.note_over(job)
-        self._state.job_by_id.pop(job.job_id, None)
-        self.stop_job(job)
-        return commit
-
 
 def _surely_gone(
     run: PlacedRun,
