Blame the member of a gang that was there, and doubt addresses that crash again

A worker that has just come back is empty, so trials went there, and its next crash spoke against a sound task. Ruled out: the take-back of suspicion, the threshold of calm times. Change: each member has a count of its own; a crash at an address that crashed within 30 s is weak evidence, and a trial goes there last.

--- a/orchidrail/shard/blame.py
+++ b/orchidrail/shard/blame.py
@@ -15,7 +15,7 @@
     suspicion_of,
 )
 from orchidrail.shard.state import ShardState
-from orchidrail.types import RunNumber, Seconds, WorkerId
+from orchidrail.types import Address, RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Task
 from orchidrail.work.records import FailureCause
 
@@ -23,6 +23,9 @@
 #: Time at work after which a task is no longer suspected: far longer than any
 #: trial; a task that lasts would add up the crashes of days.
 _CLEARED_AFTER: Seconds = 10.0
+#: Time without a crash after which an address counts as any other: several
+#: times what a worker that goes down and up by turns is up.
+_STEADY_AFTER: Seconds = 30.0
 
 
 class CrashJudge:
@@ -39,6 +42,7 @@
         self._watch = CrashWatch()
         #: Suspicion that goes if the worker turns out to be alive.
         self._doubted_by_worker: dict[WorkerId, list[tuple[Task, int]]] = {}
+        self._crashed_at_by_address: dict[Address, Seconds] = {}
 
     def note_end(
         self,
@@ -90,7 +94,11 @@
         now = self._state.clock()
         every = self._state.books_by_worker
         calm = self._watch.calm(every.values(), now)
-        self._watch.note_end(every.get(worker), now)
+        books = every.get(worker)
+        self._watch.note_end(books, now)
+        if books is not None:
+            calm = calm and now - books.crashed_at > _STEADY_AFTER
+            self._note_address(books.entry.address, now)
         doubted: list[tuple[Task, int]] = []
         for lost in suspects:
             job = lost.task.step.job
@@ -100,6 +108,17 @@
                 self._log_suspected(worker, lost, added, calm)
         self._keep_doubted(worker, [] if end is LifeEnd.CRASHED else doubted)
 
+    def last_crash_at(self, address: Address) -> Seconds:
+        """Return when a worker at an address crashed last."""
+        return self._crashed_at_by_address.get(address, -math.inf)
+
+    def _note_address(self, address: Address, now: Seconds) -> None:
+        """Remember a crash for the lives that follow at the same address."""
+        self._crashed_at_by_address[address] = now
+        for books in self._state.books_by_worker.values():
+            if books.entry.address == address:
+                books.crashed_at = now
+
     def _keep_doubted(
         self,
         worker: WorkerId,
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -146,6 +146,8 @@
         self.rests_until: Seconds = 0
         #: Whether something that runs here makes no progress.
         self.stalled = False
+        #: When a worker at this address crashed last.
+        self.crashed_at: Seconds = -math.inf
         #: Suspected runs that have not outlived their start.
         self.trials: set[RunKey] = set()
         self._unsized = 0
@@ -244,10 +246,16 @@
         self.free += size
         return True
 
-    def at_stake(self) -> tuple[int, int]:
-        """Return how many young runs, and runs, a crash here would involve."""
+    def at_stake(self) -> tuple[int, Seconds, int]:
+        """Return how ill a trial would go here, the least first.
+
+        That is by the young runs that a crash here would involve; then by when
+        a worker at this address crashed last, since one that crashes again and
+        again is empty, and would speak against sound tasks; then by all runs.
+        """
         runs = self.run_by_key.values()
-        return sum(not self.proven(run) for run in runs), len(runs)
+        young = sum(not self.proven(run) for run in runs)
+        return young, self.crashed_at, len(runs)
 
     @property
     def runs_suspect(self) -> bool:
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -206,7 +206,9 @@
             self._state.clock,
             self._may_renew,
         )
-        self._state.books_by_worker[entry.worker] = WorkerBooks(session)
+        books = WorkerBooks(session)
+        books.crashed_at = self._runs.last_crash_at(entry.address)
+        self._state.books_by_worker[entry.worker] = books
         self._keep_looking(session)
         self._state.keep_worker(entry)
         _log.info('worker listed', worker=entry.worker, zone=entry.zone)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -22,7 +22,7 @@
 from orchidrail.shard.run_ends import RunEnds
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
-from orchidrail.types import RunNumber, Seconds, WorkerId
+from orchidrail.types import Address, RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Job, StepState
 from orchidrail.work.records import TaskPhase
 from orchidrail.workers.port import (
@@ -196,6 +196,10 @@
         _log.warning('fenced by a worker', worker=session.worker)
         self._fenced()
 
+    def last_crash_at(self, address: Address) -> Seconds:
+        """Return when a worker at an address crashed last."""
+        return self._judge.last_crash_at(address)
+
     def give_up_worker(self, worker: WorkerId, end: LifeEnd) -> None:
         """Take all that a worker ran for ended."""
         unresolved = self._state.unresolved_by_worker.pop(worker, [])
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -117,8 +117,6 @@
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
         #: Gang runs whose failure was counted; members share them.
         self.failed_runs: set[RunNumber] = set()
-        #: The same for runs whose workers ended.
-        self.crashed_runs: set[RunNumber] = set()
         self.permits = Permits()
         #: Workers on which its tasks failed; others are tried first.
         self.failed_on: set[WorkerId] = set()
@@ -296,27 +294,24 @@
     def note_crash(self, task: Task, run: RunNumber, suspicion: int) -> bool:
         """Note that a worker ended under a run; tell whether that counted.
 
-        A gang is suspected as one, once a run. Unlike attempts this counts for
+        Of a gang only the member there is suspected: a wide one with none to
+        blame loses another member each time. Unlike attempts this counts for
         lasting tasks too: the workers that they end are gone for all.
         """
-        step = task.step
         if task.phase is not TaskPhase.PLACED or task.run != run:
             return False
-        if not suspicion or (step.spec.gang and run in step.crashed_runs):
+        if not suspicion:
             return False
-        step.crashed_runs.add(run)
-        for member in _counted_with(task):
-            member.crashes += 1
-            member.suspicion += suspicion
+        task.crashes += 1
+        task.suspicion += suspicion
         if task.suspicion >= GIVEN_UP_AT:
             self._give_up(FailureCause.CRASHED_WORKERS)
         return True
 
     def take_back_crash(self, task: Task, suspicion: int) -> None:
         """Take back a crash of a worker that has turned out to be alive."""
-        for member in _counted_with(task):
-            member.crashes -= 1
-            member.suspicion = max(0, member.suspicion - suspicion)
+        task.crashes -= 1
+        task.suspicion = max(0, task.suspicion - suspicion)
 
     def note_run(self, took: Seconds, worker: WorkerId) -> None:
         """Note how long a run took, to explain later what held the job up."""
@@ -370,7 +365,7 @@
         if step.spec.gang and run in step.failed_runs:
             return
         step.failed_runs.add(run)
-        members = _counted_with(task)
+        members = step.tasks if step.spec.gang else [task]
         counted = max(member.failures for member in members) + 1
         for member in members:
             member.failures = counted
@@ -389,8 +384,3 @@
             for round_number in range(self.spec.rounds)
             for step in self.steps(round_number)
         )
-
-
-def _counted_with(task: Task) -> list[Task]:
-    """Return the tasks that share one count: of a gang all."""
-    return task.step.tasks if task.step.spec.gang else [task]
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -210,8 +210,11 @@
         loop = asyncio.get_running_loop()
         for crashes in self._load.crashes:
             await asyncio.sleep(max(0, _LEAD + crashes.at - loop.time()))
+            chosen = self.workers.choose_some(crashes.share)
             for _ in range(int(crashes.lasts / crashes.every)):
-                self.workers.crash_some(crashes.share)
+                self.workers.crash_all(chosen)
+                if not crashes.same:
+                    chosen = self.workers.choose_some(crashes.share)
                 await asyncio.sleep(crashes.every)
 
     async def _shrink(self) -> None:
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -144,12 +144,15 @@
     ----------
     every : float
         Seconds between two such moments.
+    same : bool
+        Whether it is always the same workers.
     """
 
     at: Seconds
     lasts: Seconds
     every: Seconds
     share: float
+    same: bool = False
 
 
 class Shrinkage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/standins/tests/test_crashing_tasks.py
+++ b/standins/tests/test_crashing_tasks.py
@@ -31,3 +31,17 @@
         outcome = _play('crashing', seed=1)
         self.assertGreater(outcome.crashes.crashing, 0)
         self.assertEqual(0, outcome.crashes.over_budget)
+
+    def test_no_sound_job_is_given_up_where_workers_crash_anyway(self) -> None:
+        """30% of them each 3 s, or two of them again and again."""
+        for day in ('crashes_by_chance', 'flapping'):
+            for seed in (1, 2):
+                crashes = _play(day, seed).crashes
+                self.assertGreater(crashes.lost_beside, 0)
+                self.assertEqual(0, crashes.given_up_in_error)
+
+    def test_both_kinds_of_crashes_are_told_apart(self) -> None:
+        crashes = _play('crashes_of_both_kinds', seed=3).crashes
+        self.assertGreater(crashes.crashing, 0)
+        self.assertEqual(0, crashes.over_budget)
+        self.assertEqual(0, crashes.given_up_in_error)
