--- a/orchidrail/jobs/owned_job.py
+++ b/orchidrail/jobs/owned_job.py
@@ -96,6 +96,8 @@
         self.generation = 0
         self.number = 0
         self.failures = 0
+        #: Attempts in a row whose worker was gone.
+        self.losses = 0
         self.done = False
         self.running = False
         self.notes: list[ClaimNote] = []
@@ -113,6 +115,10 @@
             if report is not None and report.state is TaskState.FAILED
         }
 
+    def count_loss(self, ending: Ending) -> None:
+        """Count attempts in a row that ended with a worker."""
+        self.losses = self.losses + 1 if ending is Ending.LOST else 0
+
     def take_reports(
         self,
         reports: list[TaskReport | None],
--- a/orchidrail/scheduler/job_runner.py
+++ b/orchidrail/scheduler/job_runner.py
@@ -63,6 +63,10 @@
 _COMMIT_PATIENCE: Seconds = 30
 #: Before the second attempt after a failure; doubled with each more.
 _FAILED_PAUSE: Seconds = 2
+#: Workers in a row that may end under a task: one that ends its workers would
+#: be started for ever, as their ends are told by nobody. Where 30% of them end
+#: each 3 s, one in 200 tasks of 3 s loses five in a row.
+_MOST_LOSSES = 5
 _COUNTED = frozenset((Next.FAIL, Next.RETRY_COUNTED))
 _log = structlog.get_logger()
 
@@ -403,6 +407,9 @@
         follows = RULES[ending, repeatable]
         if follows is Next.FAIL_MAY_HAVE_RUN:
             raise JobFailedError('may have run: its worker is gone')
+        group.count_loss(ending)
+        if group.losses >= _MOST_LOSSES:
+            raise JobFailedError(f'{group.losses} workers ended under a task')
         if follows in _COUNTED:
             group.count_failure(reports)
         if follows is Next.FAIL or group.failures >= allowed:
--- a/orchidrail/scheduler/tests/test_job_runner.py
+++ b/orchidrail/scheduler/tests/test_job_runner.py
@@ -6,17 +6,21 @@
 
 import msgspec
 
+from orchidrail.bundles.model import Bundle
 from orchidrail.jobs.book import JobBook
+from orchidrail.jobs.owned_job import Ending
 from orchidrail.jobs.records import JobAccepted, JobMoved, encode_record
 from orchidrail.logservice.ports import LogRecord
 from orchidrail.resources import Resources
 from orchidrail.scheduler.daemon import SchedulerDaemon
+from orchidrail.scheduler.job_runner import JobFailedError
 from orchidrail.scheduler.tests.small_zone import (
     BATCH,
     TENANT,
     TTL,
     ZONE,
     SmallZone,
+    bundle,
 )
 from orchidrail.testing import AsyncTestCase
 from orchidrail.types import JobId, JobState, Offset, TaskId, Verdict, WorkerId
@@ -50,6 +54,16 @@
     return {name: getattr(spec, name) for name in spec.__struct_fields__}
 
 
+def _repeatable() -> Bundle:
+    """Return the test's bundle, with jobs that may be run again."""
+    known = bundle()
+    classes = {
+        name: msgspec.structs.replace(found, repeatable=True)
+        for name, found in known.classes.items()
+    }
+    return msgspec.structs.replace(known, classes=classes)
+
+
 class JobRunnerTest(AsyncTestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -91,6 +105,28 @@
         self.run_async(scenario())
         self.assertEqual(['j#0#0.1'], self.starts())
 
+    def test_a_task_that_ends_its_workers_is_given_up(self) -> None:
+        """A crashed worker tells of no failure that could be counted."""
+
+        async def scenario() -> None:
+            await self.zone.hold()
+            daemon = self.zone.daemon
+            _accept(daemon)
+            await self.until(self.starts)
+            owned = daemon.runner.owned_by_job[_JOB]
+            group = owned.groups[0]
+            await daemon.runner.close()
+            daemon.engine.use_bundle(_repeatable(), ZONE)
+
+            def lose() -> None:
+                daemon.runner._apply(owned, group, Ending.LOST, [None])
+
+            for _ in range(4):
+                lose()
+            self.assertRaises(JobFailedError, lose)
+
+        self.run_async(scenario())
+
     def test_a_moved_job_keeps_its_running_attempt(self) -> None:
         async def scenario() -> None:
             await self.zone.hold()
