--- a/orchidrail/shard/tests/test_crashes.py
+++ b/orchidrail/shard/tests/test_crashes.py
@@ -36,6 +36,7 @@
 )
 
 _SOON = 0.12
+_ONE_TASK = StepSpec(1)
 #: Crashes after which users allow two more starts.
 _MOST_CRASHES = 4
 
@@ -49,6 +50,19 @@
         step.job.end_run(member, member.run, RunEnding.LAPSED, '')
 
 
+async def _started(
+    shard: Shard,
+    spec: StepSpec = _ONE_TASK,
+    suspicion: int = 0,
+) -> StepState:
+    """Return a step whose task was ordered and has had time to start."""
+    step = shard.add(make_job(spec))
+    step.tasks[0].suspicion = suspicion
+    shard.launch(step)
+    await asyncio.sleep(_SOON)
+    return step
+
+
 def _restored(job: Job) -> Job:
     """Return the job as the next owner reads it from the journal."""
     again = Job(job.job_id, job.record)
@@ -183,10 +197,7 @@
 
     def test_a_worker_is_closed_for_the_time_of_a_trial(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            step.tasks[0].suspicion = 2
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard, suspicion=2)
             await shard.look()
             self.assertFalse(shard.books.open(shard.state.clock()))
             self.assertEqual(0, shard.books.copies('other', Size(1), 0))
@@ -198,10 +209,7 @@
 
     def test_a_trial_that_ends_otherwise_frees_the_worker(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            step.tasks[0].suspicion = 2
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard, suspicion=2)
             shard.worker.end(shard.worker.starts[0].key, RunEnding.DONE)
             await shard.look()
             self.assertTrue(shard.books.open(shard.state.clock()))
@@ -212,9 +220,7 @@
 class LostWorkerTest(ShardTestCase):
     def test_a_crash_at_the_start_is_held_against_the_task(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard)
             await shard.crash()
             self.assertTrue(step.tasks[0].suspected)
 
@@ -223,9 +229,7 @@
     def test_so_is_one_that_took_the_answer_with_it(self) -> None:
         async def scene(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.UNKNOWN
-            step = shard.add(make_job(StepSpec(1)))
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard)
             await shard.crash()
             self.assertTrue(step.tasks[0].suspected)
 
@@ -234,9 +238,7 @@
     def test_a_start_that_another_life_refused_is_not(self) -> None:
         async def scene(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.OTHER_LIFE
-            step = shard.add(make_job(StepSpec(1)))
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard)
             self.assertTrue(shard.books.session.over)
             self.assertEqual(0, step.tasks[0].crashes)
 
@@ -244,9 +246,7 @@
 
     def test_nor_is_the_end_of_a_worker_that_leaves(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard)
             shard.books.entry = msgspec.structs.replace(
                 shard.books.entry,
                 state=WorkerState.DRAINING,
@@ -260,9 +260,7 @@
         """Its leases ended; then the same life is heard again."""
 
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard)
             worker = shard.books.worker
             shard.runs.give_up_worker(worker, LifeEnd.LEASE_ENDED)
             self.assertEqual(1, step.tasks[0].crashes)
@@ -274,10 +272,7 @@
 
     def test_a_worker_that_crashed_before_tells_little(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            step.tasks[0].suspicion = 2
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard, suspicion=2)
             shard.books.crashed_at = shard.state.clock()
             await shard.crash()
             self.assertLess(step.tasks[0].suspicion, GIVEN_UP_AT)
@@ -305,10 +300,7 @@
 
     def test_what_is_given_up_says_why(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1)))
-            step.tasks[0].suspicion = GIVEN_UP_AT - 2
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard, suspicion=GIVEN_UP_AT - 2)
             await shard.crash()
             self.assertIs(JobPhase.FAILED, step.job.phase)
             self.assertIs(FailureCause.CRASHED_WORKERS, step.job.cause)
@@ -318,10 +310,7 @@
 
     def test_a_task_that_worked_for_long_is_cleared(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = shard.add(make_job(StepSpec(1, lasting=True)))
-            step.tasks[0].suspicion = 3
-            shard.launch(step)
-            await asyncio.sleep(_SOON)
+            step = await _started(shard, StepSpec(1, lasting=True), suspicion=3)
             run = next(iter(shard.books.run_by_key.values()))
             run.confirmed_at -= 60
             await shard.look()
