--- a/orchidrail/shard/tests/test_crashes.py
+++ b/orchidrail/shard/tests/test_crashes.py
@@ -197,7 +197,7 @@
 
     def test_a_worker_is_closed_for_the_time_of_a_trial(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = await _started(shard, suspicion=2)
+            await _started(shard, suspicion=2)
             await shard.look()
             self.assertFalse(shard.books.open(shard.state.clock()))
             self.assertEqual(0, shard.books.copies('other', Size(1), 0))
@@ -209,7 +209,7 @@
 
     def test_a_trial_that_ends_otherwise_frees_the_worker(self) -> None:
         async def scene(shard: Shard) -> None:
-            step = await _started(shard, suspicion=2)
+            await _started(shard, suspicion=2)
             shard.worker.end(shard.worker.starts[0].key, RunEnding.DONE)
             await shard.look()
             self.assertTrue(shard.books.open(shard.state.clock()))
