--- a/soak/run.py
+++ b/soak/run.py
@@ -83,7 +83,7 @@
         slot: int,
         folder: pathlib.Path,
         *,
-        crashing: bool,
+        crashing: bool = False,
     ) -> None:
         """Prepare; nothing is started yet."""
         self._crashing = Random(f'crashing {seed}') if crashing else None
