--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -197,6 +197,10 @@
             'queue',
             'ending',
         )
+        self.runs_not_listed = self._count(
+            'runs_not_listed',
+            'Runs taken for gone since their worker listed no end of them.',
+        )
         self.suspicions = self._count(
             'task_crashes',
             'Runs under which a worker ended, by queue and what became of '
--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -59,6 +59,7 @@
     clock_ms: float
     active: list[list[str | float | None]] = []
     ended: list[list[str | float | None]] = []
+    born: int | None = None
 
 
 class _AdviceBody(msgspec.Struct):
@@ -136,6 +137,7 @@
             listing.clock_ms / _MILLIS,
             [_decode_active(row) for row in listing.active],
             [_decode_ended(row) for row in listing.ended],
+            listing.born,
         )
 
     async def _order(
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -176,6 +176,7 @@
         """Take the runs that a listing should show and doesn't for ended."""
         for run in list(books.run_by_key.values()):
             if run.key not in seen and _surely_gone(run, listing, sent_at):
+                self._note_gone(books, run, listing)
                 self._ends.lose(books, run)
         for task, number in self._state.unresolved_by_worker.pop(
             books.worker,
@@ -184,6 +185,28 @@
             if RunKey(task.key, number) not in seen:
                 self._ends.requeue(task, number)
 
+    def _note_gone(
+        self,
+        books: WorkerBooks,
+        run: PlacedRun,
+        listing: Listing,
+    ) -> None:
+        """Tell what a run was taken for gone by, without an end heard."""
+        self._state.metrics.runs_not_listed.inc()
+        acknowledged, heard = books.session.ends_heard
+        _log.info(
+            'run not listed',
+            task=run.key.task,
+            run=run.key.run,
+            worker=books.worker,
+            born=listing.born,
+            clock=round(listing.clock, 3),
+            answered=run.confirmed_at < math.inf,
+            stopping=run.stopping,
+            acknowledged=acknowledged,
+            heard=heard,
+        )
+
     def on_life_over(self, session: WorkerSession) -> None:
         """See `Observer.on_life_over`."""
         books = self._state.books_by_worker.get(session.worker)
--- a/orchidrail/workers/port.py
+++ b/orchidrail/workers/port.py
@@ -126,11 +126,19 @@
 
 
 class Listing(NamedTuple):
-    """Everything that a worker runs, and the ends not yet acknowledged."""
+    """Everything that a worker runs, and the ends not yet acknowledged.
+
+    Parameters
+    ----------
+    born : int, optional
+        When the life that answers started, Unix milliseconds; None if the
+        worker doesn't tell. Two lives differ in it, also under one id.
+    """
 
     clock: Seconds
     active: list[ActiveRun]
     ended: list[EndedRun]
+    born: int | None = None
 
 
 class StartOrder(NamedTuple):
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -118,6 +118,7 @@
         self._failures = 0
         self._last_seen = 0
         self._last_heard = 0
+        self._born: int | None = None
 
     @property
     def worker(self) -> WorkerId:
@@ -129,6 +130,11 @@
         """Whether the worker answered before and does not now."""
         return self.fence_raised and not self.reachable and not self.over
 
+    @property
+    def ends_heard(self) -> tuple[int, int]:
+        """Number of the last end that was acknowledged, and of that heard."""
+        return self._last_seen, self._last_heard
+
     async def run(self) -> None:
         """Look again and again until this life of the worker is over."""
         while not self.over:
@@ -216,6 +222,7 @@
             await self._take_failure(answer)
 
     async def _take_listing(self, listing: Listing, sent_at: Seconds) -> None:
+        self._tell_life(listing)
         first = not self.lease.known
         self.heard_at = self._clock()
         self.lease.observe(listing.clock, self.heard_at)
@@ -235,6 +242,25 @@
         if await _all_written(writes):
             self._last_seen = max(self._last_seen, *numbers)
 
+    def _tell_life(self, listing: Listing) -> None:
+        """Tell who answers, where that is somebody else than before."""
+        if listing.born != self._born:
+            _log.info(
+                'life of worker',
+                worker=self.worker,
+                born=listing.born,
+                before=self._born,
+                clock=round(listing.clock, 3),
+                expected_clock=self._expected_clock(),
+                ends=[ended.number for ended in listing.ended],
+                acknowledged=self._last_seen,
+            )
+        self._born = listing.born
+
+    def _expected_clock(self) -> Seconds | None:
+        known = self.lease.known
+        return round(self.lease.clock_at(self._clock()), 3) if known else None
+
     async def _take_failure(self, answer: OrderAnswer) -> None:
         self.take_answer(answer)
         self._failures += 1
