--- /dev/null
+++ b/orchidrail/platform/tests/test_lives.py
@@ -0,0 +1,141 @@
+"""An order made for one life of a worker, and the next life at its address.
+
+Seen: workers that crashed were back at once under the ids that they had. The
+id is all that an order's header names, so the next life would carry out what
+was decided for the one before, whose runs are started elsewhere by then. The
+order's deadline doesn't help: it is a time on a clock that has begun anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager, suppress
+
+import msgspec
+
+from orchidrail.platform.http_calls import HttpCaller
+from orchidrail.platform.worker_calls import PlatformWorkers
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import Address, Epoch, RunNumber, TaskKey
+from orchidrail.workers.port import (
+    HoldOrder,
+    Listing,
+    OrderResult,
+    RunKey,
+    StartOrder,
+)
+from orchidrail.workers.tests.fakes import make_entry
+
+_TIMEOUT = 0.5
+_KEY = RunKey(TaskKey('j.0.0.0'), RunNumber(1))
+_START = StartOrder(_KEY, 'text', deadline=900, epoch=Epoch(3))
+_ACKNOWLEDGES = HoldOrder(Epoch(3), deadline=900, last_seen=40)
+
+
+class _Worker:
+    """One address; `restart` ends the life there and begins the next."""
+
+    def __init__(self) -> None:
+        self.address = Address('')
+        self.born = 1000
+        #: Orders that each life has got, by its start.
+        self.orders: list[tuple[int, str, dict[str, object]]] = []
+        self._open: set[asyncio.StreamWriter] = set()
+
+    def restart(self, born: int) -> None:
+        self.born = born
+        for writer in self._open:
+            writer.transport.abort()
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._open.add(writer)
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await self._answer(reader, writer)
+        self._open.discard(writer)
+        writer.close()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        length = int(head.lower().partition('content-length:')[2].split()[0])
+        order = json.loads(await reader.readexactly(length))
+        path = head.split()[1]
+        self.orders.append((self.born, path, order))
+        told = {'clockMs': 5, 'born': self.born, 'active': [], 'ended': []}
+        body = json.dumps(told if path == '/hold' else {'clockMs': 5}).encode()
+        size = f'Content-Length: {len(body)}\r\n\r\n'
+        writer.write(b'HTTP/1.1 200 OK\r\n' + size.encode() + body)
+
+    def orders_of(self, born: int, path: str) -> list[dict[str, object]]:
+        return [
+            order
+            for life, called, order in self.orders
+            if (life, called) == (born, path)
+        ]
+
+
+@asynccontextmanager
+async def _listening() -> AsyncGenerator[_Worker, None]:
+    worker = _Worker()
+    server = await asyncio.start_server(worker.serve, '127.0.0.1')
+    host, port = server.sockets[0].getsockname()
+    worker.address = Address(f'{host}:{port}')
+    try:
+        yield worker
+    finally:
+        server.close()
+
+
+class LivesTest(AsyncTestCase):
+    def test_a_start_reaches_no_other_life(self) -> None:
+        async def scene() -> None:
+            caller = HttpCaller()
+            workers = PlatformWorkers(caller)
+            async with _listening() as worker:
+                entry = msgspec.structs.replace(
+                    make_entry(),
+                    address=worker.address,
+                    born=1000,
+                )
+                first = await workers.start(entry, _START, _TIMEOUT)
+                self.assertEqual(OrderResult.TAKEN, first.result)
+                worker.restart(born=2000)
+                await asyncio.sleep(0.05)
+                second = await workers.start(entry, _START, _TIMEOUT)
+                self.assertEqual([], worker.orders_of(2000, '/run-start'))
+                self.assertEqual(OrderResult.OTHER_LIFE, second.result)
+            await caller.close()
+
+        self.run_async(scene())
+
+    def test_no_other_life_gets_an_acknowledgement_or_a_lease(self) -> None:
+        async def scene() -> None:
+            caller = HttpCaller()
+            workers = PlatformWorkers(caller)
+            async with _listening() as worker:
+                entry = msgspec.structs.replace(
+                    make_entry(),
+                    address=worker.address,
+                    born=1000,
+                )
+                first = await workers.hold(entry, _ACKNOWLEDGES, _TIMEOUT)
+                self.assertIsInstance(first, Listing)
+                worker.restart(born=2000)
+                await asyncio.sleep(0.05)
+                await workers.hold(entry, _ACKNOWLEDGES, _TIMEOUT)
+                for order in worker.orders_of(2000, '/hold'):
+                    self.assertEqual(0, order['lastSeen'])
+                    self.assertNotIn('deadlineMs', order)
+            await caller.close()
+
+        self.run_async(scene())
--- a/orchidrail/workers/port.py
+++ b/orchidrail/workers/port.py
@@ -37,8 +37,8 @@
         Its kind and its rack, the rack last.
     leaves_in : float
         Least seconds left while it drains.
-    guards : bool
-        Whether it refuses by itself what does not fit.
+    born : int, optional
+        When this life started, Unix milliseconds; None if it doesn't tell.
     """
 
     worker: WorkerId
@@ -49,6 +49,7 @@
     labels: tuple[str, ...] = ()
     state: WorkerState = WorkerState.READY
     leaves_in: Seconds = 0
+    born: int | None = None
 
     @property
     def rack(self) -> str:
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import statistics
 import time
 from contextlib import AsyncExitStack
@@ -19,12 +20,13 @@
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore
-from orchidrail.store.port import KeyedRecord
+from orchidrail.store.port import AppendOutcome, KeyedRecord
 from orchidrail.types import (
     Address,
     Epoch,
     InstanceId,
     JobId,
+    Offset,
     Seconds,
     WorkerId,
 )
@@ -66,6 +68,25 @@
     return Ok(_decode_entry(raw))
 
 
+class _TimedStore(MemoryStore):
+    """A store whose appends take some time."""
+
+    def __init__(self, takes: Seconds) -> None:
+        super().__init__()
+        self._takes = takes
+
+    async def append(
+        self,
+        topic: Topic,
+        records: list[KeyedRecord],
+        expected_end: Offset | None = None,
+    ) -> AppendOutcome:
+        """See `StoreLog.append`."""
+        if self._takes:
+            await asyncio.sleep(self._takes)
+        return await super().append(topic, records, expected_end)
+
+
 class CellModel:
     """Plays one day.
 
@@ -128,7 +149,7 @@
 
     async def _take_over(self) -> ShardOwner:
         loop = asyncio.get_running_loop()
-        store = MemoryStore()
+        store = _TimedStore(self._load.append_takes)
         entries = [
             KeyedRecord(worker, msgspec.msgpack.encode(one.entry))
             for worker, one in self.workers.by_id.items()
@@ -211,8 +232,9 @@
         for crashes in self._load.crashes:
             await asyncio.sleep(max(0, _LEAD + crashes.at - loop.time()))
             chosen = self.workers.choose_some(crashes.share)
+            returns = itertools.cycle(crashes.returns or [None])
             for _ in range(int(crashes.lasts / crashes.every)):
-                self.workers.crash_all(chosen)
+                self.workers.crash_all(chosen, next(returns))
                 if not crashes.same:
                     chosen = self.workers.choose_some(crashes.share)
                 await asyncio.sleep(crashes.every)
@@ -235,6 +257,7 @@
             round(statistics.fmean(self._idle_waiting), 3),
             self.workers.overfull,
             self.workers.doubled,
+            self.workers.repeated,
             self.workers.refused_tickets,
             judge_crashes(jobs, self.workers),
             round(processor_s, 2),
--- a/standins/model/judging.py
+++ b/standins/model/judging.py
@@ -106,8 +106,9 @@
         Part of all cores in use, mean over the traffic.
     idle_waiting_share : float
         Part of all cores free while tasks waited, mean over the traffic.
-    overfull, doubled : int
-        Broken promises.
+    overfull, doubled, repeated : int
+        Broken promises: workers past their room, two runs of a task at once,
+        starts of a task after an end that was done and acknowledged.
     """
 
     worth: float
@@ -116,6 +117,7 @@
     idle_waiting_share: float
     overfull: int
     doubled: int
+    repeated: int
     refused_tickets: int
     crashes: CrashOutcome
     processor_s: Seconds
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -146,6 +146,9 @@
         Seconds between two such moments.
     same : bool
         Whether it is always the same workers.
+    returns : list of float
+        Seconds until they start again under the ids that they had, one after
+        the other; empty if they come back under new ones.
     """
 
     at: Seconds
@@ -153,6 +156,7 @@
     every: Seconds
     share: float
     same: bool = False
+    returns: list[Seconds] = []
 
 
 class Shrinkage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -177,6 +181,8 @@
         Machines through which advice may be asked for.
     lasts : float
         Seconds of traffic.
+    append_takes : float
+        Seconds that an append to the journal takes.
     """
 
     queues: list[QueueLoad]
@@ -193,6 +199,7 @@
     outages: list[Outage] = []
     crashes: list[Crashes] = []
     shrinkages: list[Shrinkage] = []
+    append_takes: Seconds = 0
 
 
 class DrawnJob(NamedTuple):
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -27,13 +27,23 @@
     StartOrder,
     WorkerEntry,
 )
-from standins.model.load import SERVICE, CellLoad, DrawnJob, Shrinkage
+from standins.model.load import (
+    SERVICE,
+    TRAFFIC_BEGINS,
+    CellLoad,
+    DrawnJob,
+    Shrinkage,
+)
 
 #: One way over the network.
 _TRAVELS: Seconds = 0.001
 _WHOLE = 100
-#: Start of the steady clocks of the workers.
+#: Start of the steady clocks of the workers' first lives.
 _CLOCK_BEGINS: Seconds = 1000
+_MILLIS = 1000
+#: The time of day by which a life tells its start may be off by this much, so
+#: a later life may name an earlier start.
+_BORN_OFF: Seconds = 5.0
 #: An entry goes after three heartbeats without a write, counted from the last.
 _ENTRY_LASTS: Seconds = 4.5
 _HEARTBEAT: Seconds = 1.5
@@ -55,8 +65,13 @@
 class ModelWorker:
     """One worker."""
 
-    def __init__(self, entry: WorkerEntry, slowness: float) -> None:
-        """Start idle."""
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        slowness: float,
+        clock_offset: Seconds = _CLOCK_BEGINS,
+    ) -> None:
+        """Start idle; its clock shows `clock_offset` more than the loop's."""
         self.entry = entry
         self.slowness = slowness
         self.silent_until: Seconds = 0
@@ -66,6 +81,9 @@
         self.over = False
         #: Since when it has the room that its entry names.
         self.room_since: Seconds = -math.inf
+        #: Tasks whose end as done was acknowledged here.
+        self.acknowledged: set[TaskKey] = set()
+        self._clock_offset = clock_offset
         self._number = 0
 
     def crash(self) -> list[RunKey]:
@@ -90,14 +108,27 @@
         self.ended.append(EndedRun(self._number, key, ending, ''))
         self.changed.set()
 
-    def listing(self, now: Seconds, last_seen: int) -> Listing:
-        """Return what runs and the ends after `last_seen`."""
+    def forget(self, last_seen: int) -> None:
+        """Forget the ends up to `last_seen`, which were acknowledged."""
+        self.acknowledged.update(
+            end.key.task
+            for end in self.ended
+            if end.number <= last_seen and end.ending is RunEnding.DONE
+        )
         self.ended = [end for end in self.ended if end.number > last_seen]
+
+    def listing(self, now: Seconds) -> Listing:
+        """Return what runs and the ends that were not forgotten."""
         active = [
             ActiveRun(run.key, '', _WHOLE * (now - run.began) / run.takes)
             for run in self.run_by_key.values()
         ]
-        return Listing(_CLOCK_BEGINS + now, active, list(self.ended))
+        clock = self.clock(now)
+        return Listing(clock, active, list(self.ended), self.entry.born)
+
+    def clock(self, now: Seconds) -> Seconds:
+        """Return what its steady clock shows."""
+        return self._clock_offset + now
 
 
 class ModelWorkers:
@@ -125,6 +156,10 @@
         self.overfull = 0
         self.doubled = 0
         self.refused_tickets = 0
+        #: Tasks that ended as done, and those that were started after that.
+        self._done: set[TaskKey] = set()
+        self._begun_again: set[TaskKey] = set()
+        self._lives_over: list[ModelWorker] = []
         #: Writes a worker's entry, or takes it away.
         self.publish: Callable[[WorkerId, WorkerEntry | None], None] = _nothing
         self.crashes_by_task: Counter[TaskKey] = Counter()
@@ -173,29 +208,64 @@
         every = list(self._current_by_address)
         return self._random.sample(every, round(share * len(every)))
 
-    def crash_all(self, addresses: list[Address]) -> None:
-        """Let workers crash that have nothing to blame."""
+    @property
+    def repeated(self) -> int:
+        """Tasks started after an end that was done and acknowledged.
+
+        An end that its worker took to the grave may be repeated.
+        """
+        lives = [*self._lives_over, *self._current_by_address.values()]
+        noted = set().union(*(life.acknowledged for life in lives))
+        return len(self._begun_again & noted)
+
+    def crash_all(
+        self,
+        addresses: list[Address],
+        returns_after: Seconds | None = None,
+    ) -> None:
+        """Let workers crash that have nothing to blame.
+
+        Parameters
+        ----------
+        returns_after : float, optional
+            Seconds until they start again under the ids that they had.
+        """
         for address in addresses:
-            self._crash(self._current_by_address[address], None)
+            worker = self._current_by_address[address]
+            self._crash(worker, None, returns_after)
 
-    def _crash(self, worker: ModelWorker, cause: RunKey | None) -> None:
+    def _crash(
+        self,
+        worker: ModelWorker,
+        cause: RunKey | None,
+        returns_after: Seconds | None = None,
+    ) -> None:
         """End a worker's life with all that runs there; it will be back."""
         if worker.over:
             return
+        self._lives_over.append(worker)
         for key in worker.crash():
             self._where_by_task.pop(key.task, None)
             self.lost_beside += key != cause
         if cause is not None:
             self.crashes_by_task[cause.task] += 1
         loop = asyncio.get_running_loop()
-        loop.call_later(self._restart, self._restart_after, worker)
+        if returns_after is None:
+            loop.call_later(self._restart, self._restart_after, worker)
+        else:
+            loop.call_later(returns_after, self._return, worker)
         loop.call_later(
             _ENTRY_LASTS - _HEARTBEAT * self._random.random(),
-            self.publish,
-            worker.entry.worker,
-            None,
+            self._drop_entry,
+            worker,
         )
 
+    def _drop_entry(self, worker: ModelWorker) -> None:
+        """Take away the entry of a life that is over, if it is still there."""
+        name = worker.entry.worker
+        if self.by_id[name].over:
+            self.publish(name, None)
+
     def _restart_after(self, old: ModelWorker) -> None:
         self._lives += 1
         name = WorkerId(f'{old.entry.address}/{self._lives}')
@@ -203,13 +273,42 @@
         self._add(ModelWorker(entry, old.slowness))
         self.publish(name, entry)
 
-    def _ended(self, worker: ModelWorker) -> OrderAnswer | None:
-        """Return what is heard at the address of a life that is over."""
-        if not worker.over:
-            return None
-        if self._current_by_address[worker.entry.address].over:
+    def _return(self, old: ModelWorker) -> None:
+        """Begin a life under the id of one that is over.
+
+        Its clock starts anew. Its entry is written at some time before the
+        heartbeat after that.
+        """
+        loop = asyncio.get_running_loop()
+        entry = msgspec.structs.replace(old.entry, born=self._draw_born())
+        worker = ModelWorker(entry, old.slowness, -loop.time())
+        self._add(worker)
+        loop.call_later(
+            _HEARTBEAT * self._random.random(),
+            lambda: worker.over or self.publish(entry.worker, entry),
+        )
+
+    def _draw_born(self) -> int:
+        off = self._random.uniform(-_BORN_OFF, _BORN_OFF)
+        now = asyncio.get_running_loop().time()
+        return round((TRAFFIC_BEGINS + now + off) * _MILLIS)
+
+    async def _reach(
+        self,
+        entry: WorkerEntry,
+        timeout: Seconds,
+    ) -> ModelWorker | OrderAnswer:
+        """Return the life that a call finds, or what comes of the call."""
+        await asyncio.sleep(_TRAVELS)
+        worker = self._current_by_address[entry.address]
+        if asyncio.get_running_loop().time() < worker.silent_until:
+            await asyncio.sleep(max(0, timeout - _TRAVELS))
+            return OrderAnswer(OrderResult.UNKNOWN)
+        if worker.over:
             return OrderAnswer(OrderResult.NOT_SENT)
-        return OrderAnswer(OrderResult.OTHER_LIFE)
+        if worker.entry.worker != entry.worker:
+            return OrderAnswer(OrderResult.OTHER_LIFE)
+        return worker
 
     def silence(self, share: float, until: Seconds) -> None:
         """Let a share of the workers answer nothing for a while."""
@@ -224,17 +323,15 @@
         timeout: Seconds,
     ) -> OrderAnswer:
         """See `WorkerCalls.start`."""
-        worker = self.by_id[entry.worker]
-        if not await self._reaches(worker, timeout):
-            return OrderAnswer(OrderResult.UNKNOWN)
-        ended = self._ended(worker)
-        if ended is not None:
-            return ended
+        worker = await self._reach(entry, timeout)
+        if isinstance(worker, OrderAnswer):
+            return worker
         now = asyncio.get_running_loop().time()
+        clock = worker.clock(now)
         job, step, index = self._drawn(order.key)
         if job.queue.advice and not _ticket_holds(order.ticket, now):
             self.refused_tickets += 1
-            return OrderAnswer(OrderResult.NO_TICKET, _CLOCK_BEGINS + now)
+            return OrderAnswer(OrderResult.NO_TICKET, clock)
         self._judge(worker, order.key)
         takes = job.work[step][index] * worker.slowness
         ending = RunEnding.DONE
@@ -258,7 +355,7 @@
                 order.key,
             )
         await asyncio.sleep(_TRAVELS)
-        return OrderAnswer(OrderResult.TAKEN, _CLOCK_BEGINS + now)
+        return OrderAnswer(OrderResult.TAKEN, clock)
 
     async def stop(
         self,
@@ -268,15 +365,12 @@
         timeout: Seconds,
     ) -> OrderAnswer:
         """See `WorkerCalls.stop`."""
-        worker = self.by_id[entry.worker]
-        if not await self._reaches(worker, timeout):
-            return OrderAnswer(OrderResult.UNKNOWN)
-        ended = self._ended(worker)
-        if ended is not None:
-            return ended
+        worker = await self._reach(entry, timeout)
+        if isinstance(worker, OrderAnswer):
+            return worker
         self._end(worker, key, RunEnding.STOPPED)
         now = asyncio.get_running_loop().time()
-        return OrderAnswer(OrderResult.TAKEN, _CLOCK_BEGINS + now)
+        return OrderAnswer(OrderResult.TAKEN, worker.clock(now))
 
     async def hold(
         self,
@@ -286,14 +380,11 @@
     ) -> Listing | OrderAnswer:
         """See `WorkerCalls.hold`."""
         loop = asyncio.get_running_loop()
-        worker = self.by_id[entry.worker]
-        if not await self._reaches(worker, timeout):
-            return OrderAnswer(OrderResult.UNKNOWN)
-        ended = self._ended(worker)
-        if ended is not None:
-            return ended
-        listing = worker.listing(loop.time(), order.last_seen)
-        if order.wait and not listing.ended:
+        worker = await self._reach(entry, timeout)
+        if isinstance(worker, OrderAnswer):
+            return worker
+        worker.forget(order.last_seen)
+        if order.wait and not worker.ended:
             worker.changed.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(order.wait):
@@ -301,7 +392,7 @@
             if worker.over:
                 # Its open connections break.
                 return OrderAnswer(OrderResult.UNKNOWN)
-            listing = worker.listing(loop.time(), order.last_seen)
+        listing = worker.listing(loop.time())
         await asyncio.sleep(_TRAVELS)
         return listing
 
@@ -324,13 +415,6 @@
         }
         return Advice(tickets, valid)
 
-    async def _reaches(self, worker: ModelWorker, timeout: Seconds) -> bool:
-        await asyncio.sleep(_TRAVELS)
-        if asyncio.get_running_loop().time() >= worker.silent_until:
-            return True
-        await asyncio.sleep(max(0, timeout - _TRAVELS))
-        return False
-
     def _drawn(self, key: RunKey) -> tuple[DrawnJob, int, int]:
         job_id, _, step, index = key.task.split('.')
         return self._find_job(job_id), int(step), int(index)
@@ -343,11 +427,15 @@
     ) -> None:
         worker.end(key, ending)
         self._where_by_task.pop(key.task, None)
+        if ending is RunEnding.DONE:
+            self._done.add(key.task)
 
     def _judge(self, worker: ModelWorker, key: RunKey) -> None:
         """Count starts that break a promise."""
         if key.task in self._where_by_task:
             self.doubled += 1
+        if key.task in self._done:
+            self._begun_again.add(key.task)
         self._where_by_task[key.task] = worker.entry.worker
         if self.crashes_by_task[key.task] >= _CRASHES_ALLOWED:
             self.late_starts_by_task[key.task] += 1
--- /dev/null
+++ b/standins/tests/test_returning_workers.py
@@ -0,0 +1,34 @@
+"""Workers that start again under the ids that they had.
+
+Seen: a task whose first run had ended well, and whose end its owner had
+acknowledged, was started again half a second later on another worker. How it
+came about: workers crashed and were back within seconds under the same ids,
+with the numbers of their ends counted anew. Cause: the number of the last end
+that the owner had acknowledged was kept for the id; sent to the next life, it
+acknowledged ends that the owner had never heard of, and the listing after that
+lacked their runs, which were taken for gone. What proved it: the same day
+played here, in virtual time around one real owner, repeats tasks whose worker
+had long been back, each time between two looks.
+"""
+
+from __future__ import annotations
+
+import pathlib
+
+from testtools import TestCase
+
+from standins.model import CellModel, Outcome
+from standins.model.load import read_load
+
+_DAYS = pathlib.Path(__file__).parents[1] / 'model' / 'days'
+
+
+def _play(seed: int) -> Outcome:
+    return CellModel(read_load(str(_DAYS / 'returning.toml')), seed).play()
+
+
+class ReturningWorkerTest(TestCase):
+    def test_no_task_is_repeated_after_an_acknowledged_end(self) -> None:
+        outcome = _play(seed=1)
+        self.assertGreater(outcome.crashes.lost_beside, 0)
+        self.assertEqual((0, 0), (outcome.repeated, outcome.doubled))
