--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -39,14 +39,15 @@
 from orchidrail.store import Topic
 from orchidrail.store.relay import RawAnswer, RawCall, RelayedCaller
 from orchidrail.tasks import TaskSet
-from orchidrail.types import InstanceId, Seconds, WorkerId
+from orchidrail.types import InstanceId, Seconds, WorkerId, WorkerName
 from orchidrail.wire.messages import (
     AdviceGiven,
     AskAdvice,
 )
 from orchidrail.wire.transport import MessageServer, TcpTransport
 from orchidrail.work.model import MemberInfo
-from orchidrail.workers.port import Advice
+from orchidrail.workers.lives import split_life
+from orchidrail.workers.port import Advice, NamedTickets
 
 _log = structlog.get_logger()
 #: The platform's network is closed to others; daemons need no shared key.
@@ -230,8 +231,28 @@
         workers: list[WorkerId],
         timeout: Seconds,
     ) -> Advice | None:
+        """Ask by the workers' names; the answer is for the lives asked for."""
+        worker_by_name = {split_life(worker)[0]: worker for worker in workers}
+        names = list(worker_by_name)
+        given = await self._ask_by_names(lane, step_key, names, timeout)
+        if given is None:
+            return None
+        ticket_by_worker = {
+            worker_by_name[name]: ticket
+            for name, ticket in given.ticket_by_name.items()
+            if name in worker_by_name
+        }
+        return Advice(ticket_by_worker, given.valid)
+
+    async def _ask_by_names(
+        self,
+        lane: InstanceId,
+        step_key: str,
+        names: list[WorkerName],
+        timeout: Seconds,
+    ) -> NamedTickets | None:
         if lane == self.me.name:
-            return await self._advice.advise(step_key, workers, timeout)
+            return await self._advice.advise(step_key, names, timeout)
         address = next(
             (
                 member.address
@@ -244,7 +265,7 @@
             return None
         outcome = await self._transport.call(
             address,
-            AskAdvice(step_key=step_key, workers=workers, timeout=timeout),
+            AskAdvice(step_key=step_key, workers=names, timeout=timeout),
             timeout + RELAY_SLACK,
         )
         if not isinstance(outcome, Ok):
@@ -253,4 +274,4 @@
         if not isinstance(given, AdviceGiven) or not given.known:
             return None
         tickets = dict(zip(given.workers, given.tickets, strict=True))
-        return Advice(tickets, given.valid)
+        return NamedTickets(tickets, given.valid)
--- a/orchidrail/instance/peer_service.py
+++ b/orchidrail/instance/peer_service.py
@@ -162,8 +162,8 @@
             return AdviceGiven(known=False)
         return AdviceGiven(
             known=True,
-            workers=list(advice.ticket_by_worker),
-            tickets=list(advice.ticket_by_worker.values()),
+            workers=list(advice.ticket_by_name),
+            tickets=list(advice.ticket_by_name.values()),
             valid=advice.valid,
         )
 
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -11,7 +11,7 @@
     InstanceId,
     QueueName,
     ServiceName,
-    WorkerId,
+    WorkerName,
 )
 from orchidrail.work.model import (
     AdviceCost,
@@ -22,6 +22,7 @@
     Size,
     StepSpec,
 )
+from orchidrail.workers.lives import SEPARATOR
 from orchidrail.workers.port import WorkerEntry, WorkerState
 
 #: Key of the configuration among the operator's records.
@@ -85,6 +86,8 @@
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[str] = []
     remaining_ms: float = 0
+    #: Start of its life, Unix milliseconds.
+    born: int | None = None
 
 
 class _Step(msgspec.Struct, rename='camel'):
@@ -144,6 +147,8 @@
 
 def decode_worker(worker: str, raw: bytes) -> Result[WorkerEntry, str]:
     """Decode what a worker registers of itself."""
+    if SEPARATOR in worker:
+        return Err(f'{worker!r}, expected a name without {SEPARATOR!r}')
     try:
         entry = _decode_worker(raw)
     except msgspec.MsgspecError as error:
@@ -151,7 +156,7 @@
     draining = entry.state == 'draining'
     return Ok(
         WorkerEntry(
-            worker=WorkerId(worker),
+            name=WorkerName(worker),
             service=ServiceName(entry.service),
             address=Address(entry.address),
             zone=entry.zone,
@@ -163,6 +168,7 @@
             labels=tuple(entry.labels),
             state=WorkerState.DRAINING if draining else WorkerState.READY,
             leaves_in=entry.remaining_ms / _MILLIS,
+            born=entry.born,
         )
     )
 
--- /dev/null
+++ b/orchidrail/platform/greetings.py
@@ -0,0 +1,114 @@
+"""Connections on which is known who is at the other end.
+
+A connection leads to one process for as long as it is open, an address does
+not. So the first call on a connection is one that harms nobody; what is meant
+for one life of a worker goes only over a connection on which that life, and no
+other, has answered. It costs one look for each new connection.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from contextlib import contextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+from weakref import WeakKeyDictionary
+
+import aiohttp
+
+from orchidrail.store.relay import RawAnswer, RawCall
+
+
+class Greeting(NamedTuple):
+    """How to learn whether a connection leads to whom a call is for.
+
+    Parameters
+    ----------
+    receiver : str
+        Whom the call is for.
+    call : RawCall
+        Harms nobody, whoever answers it.
+    refusal : callable
+        From its answer to that of the call that can't be made, None if the
+        connection is the right one.
+    """
+
+    receiver: str
+    call: RawCall
+    refusal: Callable[[RawAnswer], RawAnswer | None]
+
+
+class NotGreetedError(Exception):
+    """The connection at hand is not known to lead to the receiver."""
+
+
+@dataclass
+class _Use:
+    """What a connection is wanted for."""
+
+    receiver: str
+    greets: bool
+    #: The connection that a greeting went over.
+    protocol: Any = None
+
+
+_use: ContextVar[_Use | None] = ContextVar('use', default=None)
+
+
+@contextmanager
+def wanted_for(receiver: str, *, greets: bool) -> Generator[_Use, None, None]:
+    """Have the connections that this task opens be for one receiver."""
+    use = _Use(receiver, greets)
+    token = _use.set(use)
+    try:
+        yield use
+    finally:
+        _use.reset(token)
+
+
+class GreetingConnector(aiohttp.TCPConnector):
+    """Hands out connections only to calls whose receiver they lead to.
+
+    Calls that name no receiver get any connection.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        """Know no connection."""
+        super().__init__(**options)
+        self._receiver_by_protocol: WeakKeyDictionary[Any, str] = (
+            WeakKeyDictionary()
+        )
+
+    def note_greeted(self, use: _Use) -> None:
+        """Take that the connection of a greeting leads to its receiver."""
+        if use.protocol is not None:
+            self._receiver_by_protocol[use.protocol] = use.receiver
+
+    async def connect(
+        self,
+        req: Any,
+        traces: Any,
+        timeout: Any,
+    ) -> Any:
+        """See `aiohttp.BaseConnector.connect`.
+
+        Raises
+        ------
+        NotGreetedError
+            If the connection at hand may lead to somebody else.
+        """
+        connection = await super().connect(req, traces, timeout)
+        use = _use.get()
+        if use is None:
+            return connection
+        if use.greets:
+            use.protocol = connection.protocol
+            return connection
+        receiver = self._receiver_by_protocol.get(connection.protocol)
+        if receiver == use.receiver:
+            return connection
+        connection.release()
+        raise NotGreetedError(
+            f'connection to {receiver!r}, expected {use.receiver!r}'
+        )
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -13,6 +13,12 @@
 import structlog
 
 from orchidrail.clocks import elapsed
+from orchidrail.platform.greetings import (
+    Greeting,
+    GreetingConnector,
+    NotGreetedError,
+    wanted_for,
+)
 from orchidrail.store.relay import RawAnswer, RawCall
 from orchidrail.tasks import TaskSet
 from orchidrail.types import Address, Seconds
@@ -28,6 +34,8 @@
 _KEEP_ALIVE: Seconds = 60
 #: Body that stands for an answer which did not come in time.
 _SILENT = b'silent'
+#: Connections that are greeted for one call: as many as there may be.
+_GREETED_FOR_CALL = _PER_HOST
 #: Addresses that must fall silent at once for others to be doubted too.
 _SEVERAL = 3
 #: What counts as at once: looks at workers time out after 0.25 to 1.05 s.
@@ -98,11 +106,12 @@
         address: Address,
         call: RawCall,
         headers: dict[str, str] | None = None,
+        greeting: Greeting | None = None,
     ) -> RawAnswer:
         """Make one call; a connection that stays silent is given up.
 
         An answer that is coming is waited for: a long one takes seconds on a
-        slow link.
+        slow link. With a greeting the call goes only to its receiver.
 
         Returns
         -------
@@ -115,13 +124,12 @@
         pool = self._pool(address)
         pool.calls += 1
         try:
-            answer = await pool.call(address, call, headers)
+            answer = await pool.call(address, call, headers, greeting)
         finally:
             pool.calls -= 1
             self._close_if_done(pool)
-        if answer is None:
+        if answer.body is _SILENT:
             self._note_silence(address, pool, call.timeout)
-            return RawAnswer(0, _SILENT)
         if answer.status:
             pool.heard_at = self._clock()
         return answer
@@ -212,14 +220,14 @@
     """Connections to one address."""
 
     def __init__(self, now: Seconds) -> None:
-        connector = aiohttp.TCPConnector(
+        self._connector = GreetingConnector(
             limit=_PER_HOST,
             keepalive_timeout=_KEEP_ALIVE,
             ttl_dns_cache=None,
             socket_factory=_make_socket,
         )
         self.session = aiohttp.ClientSession(
-            connector=connector,
+            connector=self._connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
@@ -233,8 +241,49 @@
         address: Address,
         call: RawCall,
         headers: dict[str, str] | None,
+        greeting: Greeting | None,
+    ) -> RawAnswer:
+        """Make one call; its body is `_SILENT` if none came in time."""
+        if greeting is None:
+            return await self._send(address, call, headers)
+        for _ in range(_GREETED_FOR_CALL):
+            try:
+                with wanted_for(greeting.receiver, greets=False):
+                    return await self._send(address, call, headers)
+            except NotGreetedError:
+                refusal = await self._greet(address, greeting, headers)
+                if refusal is not None:
+                    return refusal
+        return RawAnswer(0, b'no connection was greeted', reached=False)
+
+    async def _greet(
+        self,
+        address: Address,
+        greeting: Greeting,
+        headers: dict[str, str] | None,
     ) -> RawAnswer | None:
-        """Make one call; None if its connection stayed silent."""
+        """Learn who is at the other end of a connection.
+
+        Returns
+        -------
+        None if it is the receiver, else the answer of a call to it, which was
+        not made.
+        """
+        with wanted_for(greeting.receiver, greets=True) as use:
+            answer = await self._send(address, greeting.call, headers)
+        if not answer.status:
+            return answer._replace(reached=False)
+        refusal = greeting.refusal(answer)
+        if refusal is None:
+            self._connector.note_greeted(use)
+        return refusal
+
+    async def _send(
+        self,
+        address: Address,
+        call: RawCall,
+        headers: dict[str, str] | None,
+    ) -> RawAnswer:
         timeout = aiohttp.ClientTimeout(
             total=call.timeout + _LONGEST_ANSWER,
             connect=call.timeout,
@@ -253,6 +302,6 @@
         except _NOT_REACHED as error:
             return RawAnswer(0, repr(error).encode(), reached=False)
         except asyncio.TimeoutError:
-            return None
+            return RawAnswer(0, _SILENT)
         except (aiohttp.ClientError, OSError) as error:
             return RawAnswer(0, repr(error).encode())
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -5,7 +5,10 @@
 import json
 from collections.abc import Awaitable, Callable
 
+from result import Err
+
 from orchidrail.platform import documents
+from orchidrail.platform.greetings import Greeting
 from orchidrail.platform.store_log import PlatformLog
 from orchidrail.platform.worker_calls import PlatformWorkers
 from orchidrail.store import (
@@ -116,6 +119,7 @@
         address: str,
         call: RawCall,
         headers: dict[str, str],
+        greeting: Greeting | None = None,
     ) -> RawAnswer:
         self.bodies.append(json.loads(call.body))
         self.headers = headers
@@ -231,6 +235,21 @@
         self.assertIs(WorkerState.DRAINING, entry.state)
         self.assertEqual(('r1-3', 4), (entry.rack, entry.leaves_in))
 
+    def test_a_life_of_a_worker(self) -> None:
+        raw = b'{"service":"s","address":"a:1","born":1712345678901}'
+        entry = self.assert_ok(documents.decode_worker('i-1', raw))
+        self.assertEqual('i-1', entry.name)
+        self.assertEqual('i-1@1712345678901', entry.worker)
+
+    def test_a_start_that_is_no_whole_number_names_no_worker(self) -> None:
+        for born in (b'"1712345678901"', b'1.5', b'true', b'[1]'):
+            raw = b'{"service":"s","address":"a:1","born":%s}' % born
+            self.assertIsInstance(documents.decode_worker('i-1', raw), Err)
+
+    def test_a_name_that_looks_like_a_life_names_no_worker(self) -> None:
+        raw = b'{"service":"s","address":"a:1"}'
+        self.assertIsInstance(documents.decode_worker('i-1@5', raw), Err)
+
     def test_a_configuration(self) -> None:
         raw = (
             b'{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",'
--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
+from orchidrail.platform.greetings import Greeting
 from orchidrail.platform.http_calls import HttpCaller
 from orchidrail.store.relay import RawAnswer, RawCall
 from orchidrail.types import (
@@ -14,14 +16,14 @@
     RunNumber,
     Seconds,
     TaskKey,
-    WorkerId,
+    WorkerName,
 )
 from orchidrail.workers.port import (
     ActiveRun,
-    Advice,
     EndedRun,
     HoldOrder,
     Listing,
+    NamedTickets,
     OrderAnswer,
     OrderResult,
     RunEnding,
@@ -32,10 +34,15 @@
 
 _OK = 200
 _LIFE_HEADER = 'X-Orchidrail-Expect-Instance'
+_START = '/run-start'
+_STOP = '/run-stop'
+_LOOK = '/hold'
 _MILLIS = 1000
+#: How the platform says that another life answers.
+_MISDIRECTED = 421
 _RESULT_BY_STATUS = {
     400: OrderResult.INVALID,
-    421: OrderResult.OTHER_LIFE,
+    _MISDIRECTED: OrderResult.OTHER_LIFE,
     429: OrderResult.UNWELL,
     503: OrderResult.UNWELL,
 }
@@ -99,7 +106,7 @@
             body['checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        answer = await self._order(entry, '/run-start', body, timeout)
+        answer = await self._order(entry, _START, body, timeout)
         return _decode_result(answer)
 
     async def stop(
@@ -111,7 +118,7 @@
     ) -> OrderAnswer:
         """See `WorkerCalls.stop`."""
         body = {'taskId': key.task, 'runId': key.run, 'fencingToken': epoch}
-        answer = await self._order(entry, '/run-stop', body, timeout)
+        answer = await self._order(entry, _STOP, body, timeout)
         return _decode_result(answer)
 
     async def hold(
@@ -129,7 +136,7 @@
             body['deadlineMs'] = int(order.deadline * _MILLIS)
         if order.wait:
             body['waitMs'] = int(order.wait * _MILLIS)
-        answer = await self._order(entry, '/hold', body, timeout)
+        answer = await self._order(entry, _LOOK, body, timeout)
         if answer.status != _OK:
             return _decode_result(answer)
         listing = _decode_listing(answer.body)
@@ -148,8 +155,11 @@
         timeout: Seconds,
     ) -> RawAnswer:
         call = RawCall('POST', path, _encode(body), timeout)
-        headers = {_LIFE_HEADER: str(entry.worker)}
-        return await self._caller.call(entry.address, call, headers)
+        # Names no life, whatever the header's name says: the next life at the
+        # address may have the name too.
+        headers = {_LIFE_HEADER: str(entry.name)}
+        greeting = _make_greeting(entry, body, timeout)
+        return await self._caller.call(entry.address, call, headers, greeting)
 
 
 class PlatformAdvice:
@@ -167,18 +177,39 @@
     async def advise(
         self,
         step_key: str,
-        workers: list[WorkerId],
+        names: list[WorkerName],
         timeout: Seconds,
-    ) -> Advice | None:
+    ) -> NamedTickets | None:
         """See `AdviceCalls.advise`."""
-        body = _encode({'phase': step_key, 'workers': workers})
+        body = _encode({'phase': step_key, 'workers': names})
         call = RawCall('POST', '/advise', body, timeout)
         answer = await self._caller.call(self._address(), call)
         if answer.status != _OK:
             return None
         advice = _decode_advice(answer.body)
-        tickets = {WorkerId(row[0]): row[1] for row in advice.good}
-        return Advice(tickets, advice.valid_ms / _MILLIS)
+        tickets = {WorkerName(row[0]): row[1] for row in advice.good}
+        return NamedTickets(tickets, advice.valid_ms / _MILLIS)
+
+
+def _make_greeting(
+    entry: WorkerEntry,
+    body: dict[str, object] | dict[str, int],
+    timeout: Seconds,
+) -> Greeting | None:
+    """Return a look that acknowledges nothing and renews no lease."""
+    if entry.born is None:
+        return None
+    look = {'fencingToken': body['fencingToken'], 'lastSeen': 0}
+    call = RawCall('POST', _LOOK, _encode(look), timeout)
+    return Greeting(entry.worker, call, partial(_refusal, entry.born))
+
+
+def _refusal(born: int, answer: RawAnswer) -> RawAnswer | None:
+    """Return what an order comes to that was preceded by this answer."""
+    if answer.status != _OK:
+        return answer
+    told = _decode_listing(answer.body).born
+    return None if told is None or told == born else RawAnswer(_MISDIRECTED)
 
 
 def _decode_result(answer: RawAnswer) -> OrderAnswer:
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -17,7 +17,7 @@
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
-from orchidrail.types import Seconds, WorkerId
+from orchidrail.types import Seconds, WorkerId, WorkerName
 from orchidrail.work.records import worker_values
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import WorkerCalls, WorkerEntry, WorkerState
@@ -89,11 +89,15 @@
         self._longest_lease = longest_lease
         self._doubt_until = doubt_until
         self._may_renew = may_renew
-        self._raw_by_worker: dict[WorkerId, bytes] = {}
+        self._raw_by_name: dict[WorkerName, bytes] = {}
+        #: The life that is dealt with under each name, and the last one that
+        #: is known to be over: its entry may be read once more after that.
+        self._worker_by_name: dict[WorkerName, WorkerId] = {}
+        self._over_by_name: dict[WorkerName, WorkerId] = {}
         self._task_by_worker: dict[WorkerId, asyncio.Task[None]] = {}
         self._sessions = TaskSet('session')
         #: When each entry was last seen to be written.
-        self._written_at_by_worker: dict[WorkerId, Seconds] = {}
+        self._written_at_by_name: dict[WorkerName, Seconds] = {}
         self._read_at = state.clock()
         self._gap_ended_at = state.clock()
         #: Until then a worker without an entry may still be given work.
@@ -140,19 +144,23 @@
 
     def _take_entries(self) -> None:
         now = self._state.clock()
-        for key, raw in self._view.value_by_key.items():
-            worker = WorkerId(key)
-            if self._raw_by_worker.get(worker) != raw:
-                self._raw_by_worker[worker] = raw
-                self._written_at_by_worker[worker] = now
-                self._take_entry(worker, raw)
-        for worker, books in self._state.books_by_worker.items():
-            listed = worker in self._view.value_by_key
+        raw_by_key = self._view.value_by_key
+        for key, raw in raw_by_key.items():
+            name = WorkerName(key)
+            if self._raw_by_name.get(name) != raw:
+                self._raw_by_name[name] = raw
+                self._take_entry(name, raw)
+                self._written_at_by_name[name] = now
+        for books in self._state.books_by_worker.values():
+            listed = books.entry.name in raw_by_key
             if listed:
                 books.missing_since = None
             elif books.missing_since is None:
                 books.missing_since = now
             self._use_listed(books, listed or now < self._settled_at)
+        for name in self._raw_by_name.keys() - raw_by_key.keys():
+            self._raw_by_name.pop(name)
+            self._over_by_name.pop(name, None)
 
     def _use_listed(self, books: WorkerBooks, listed: bool) -> None:
         if books.listed is not listed:
@@ -163,20 +171,40 @@
                 worker=books.worker,
             )
 
-    def _take_entry(self, worker: WorkerId, raw: bytes) -> None:
-        decoded = self._decode(worker, raw)
+    def _take_entry(self, name: WorkerName, raw: bytes) -> None:
+        decoded = self._decode(name, raw)
         if not isinstance(decoded, Ok):
             _log.warning(
                 'worker entry not understood',
-                worker=worker,
+                worker=name,
                 reason=decoded.err_value,
             )
             return
         entry = decoded.ok_value
-        books = self._state.books_by_worker.get(worker)
-        if books is None:
+        books = self._books_of(name)
+        if books is not None and not books.session.is_life_of(entry.born):
+            # A worker starts again only after its life before is over.
+            _log.info(
+                'entry of another life',
+                worker=books.worker,
+                entry=entry.worker,
+            )
+            books.session.end_life()
+            self._forget(books)
+            books = None
+        if books is not None:
+            self._renew_entry(books, entry)
+        elif entry.born is None or entry.worker != self._over_by_name.get(name):
             self._open_session(entry)
-            return
+
+    def _books_of(self, name: WorkerName) -> WorkerBooks | None:
+        worker = self._worker_by_name.get(name)
+        if worker is None:
+            return None
+        return self._state.books_by_worker.get(worker)
+
+    def _renew_entry(self, books: WorkerBooks, entry: WorkerEntry) -> None:
+        """Take what a worker that is known says of itself now."""
         before = books.entry
         books.take_entry(entry)
         changed = (entry.state, entry.capacity) != (
@@ -186,7 +214,7 @@
         if changed:
             _log.info(
                 'worker changed',
-                worker=worker,
+                worker=books.worker,
                 state=entry.state.value,
                 leaves_in=entry.leaves_in,
                 capacity=entry.capacity,
@@ -208,10 +236,11 @@
         )
         books = WorkerBooks(session)
         books.crashed_at = self._runs.last_crash_at(entry.address)
-        self._state.books_by_worker[entry.worker] = books
+        self._state.books_by_worker[books.worker] = books
+        self._worker_by_name[entry.name] = books.worker
         self._keep_looking(session)
         self._state.keep_worker(entry)
-        _log.info('worker listed', worker=entry.worker, zone=entry.zone)
+        _log.info('worker listed', worker=books.worker, zone=entry.zone)
 
     def _keep_looking(self, session: WorkerSession) -> None:
         """Run a session, anew if it fails: its worker must be looked at."""
@@ -234,14 +263,14 @@
         now = self._state.clock()
         for worker, books in list(self._state.books_by_worker.items()):
             session = books.session
-            if self._has_left(worker, books):
+            if self._has_left(books):
                 _log.info('worker has left', worker=worker)
                 session.end_life()
             lapsed = not session.reachable and session.lease.ended(now)
             if lapsed and not session.over:
                 self._runs.give_up_worker(worker, LifeEnd.LEASE_ENDED)
             if session.over or (lapsed and self._gone(books, now)):
-                self._forget(worker)
+                self._forget(books)
         if now > self._doubt_until:
             self._sweep_unmet()
 
@@ -251,7 +280,7 @@
         for worker in unmet - self._state.books_by_worker.keys():
             self._runs.give_up_worker(worker, LifeEnd.NEVER_MET)
 
-    def _has_left(self, worker: WorkerId, books: WorkerBooks) -> bool:
+    def _has_left(self, books: WorkerBooks) -> bool:
         """Whether a worker that said so has left, with all that ran there.
 
         Its entry goes at once then. One that lapsed tells nothing: the worker
@@ -262,7 +291,10 @@
             return False
         if books.session.reachable or books.session.over:
             return False
-        written = self._written_at_by_worker.get(worker, self._gap_ended_at)
+        written = self._written_at_by_name.get(
+            books.entry.name,
+            self._gap_ended_at,
+        )
         return written > self._gap_ended_at and since - written < _FRESH_FOR
 
     def _gone(self, books: WorkerBooks, now: Seconds) -> bool:
@@ -272,11 +304,16 @@
         draining = books.entry.state is WorkerState.DRAINING
         return draining or now - since > _MISSING_FOR
 
-    def _forget(self, worker: WorkerId) -> None:
-        self._written_at_by_worker.pop(worker, None)
-        self._state.books_by_worker.pop(worker, None)
-        self._state.drop_worker(worker)
-        task = self._task_by_worker.pop(worker, None)
+    def _forget(self, books: WorkerBooks) -> None:
+        name = books.entry.name
+        if books.session.over:
+            self._over_by_name[name] = books.session.entry.worker
+        books.session.close()
+        self._written_at_by_name.pop(name, None)
+        self._worker_by_name.pop(name, None)
+        self._state.books_by_worker.pop(books.worker, None)
+        self._state.drop_worker(books)
+        task = self._task_by_worker.pop(books.worker, None)
         if task is not None:
             task.cancel()
-        _log.info('worker forgotten', worker=worker)
+        _log.info('worker forgotten', worker=books.worker)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -25,6 +25,7 @@
 from orchidrail.types import Address, RunNumber, Seconds, WorkerId
 from orchidrail.work.job import Job, StepState
 from orchidrail.work.records import TaskPhase
+from orchidrail.workers.lives import split_life
 from orchidrail.workers.port import (
     ActiveRun,
     Listing,
@@ -178,12 +179,25 @@
             if run.key not in seen and _surely_gone(run, listing, sent_at):
                 self._note_gone(books, run, listing)
                 self._ends.lose(books, run)
-        for task, number in self._state.unresolved_by_worker.pop(
-            books.worker,
-            (),
-        ):
-            if RunKey(task.key, number) not in seen:
-                self._ends.requeue(task, number)
+        if self._state.unresolved_by_worker:
+            self._resolve(books, seen)
+
+    def _resolve(self, books: WorkerBooks, seen: set[RunKey]) -> None:
+        """Settle the runs that an earlier owner placed on this worker.
+
+        One that answers has no other life any more. The journals of older
+        versions don't tell lives apart.
+        """
+        name = books.entry.name
+        for worker in list(self._state.unresolved_by_worker):
+            if split_life(worker)[0] != name:
+                continue
+            if worker not in (books.worker, name):
+                self.give_up_worker(worker, LifeEnd.CRASHED)
+                continue
+            for task, number in self._state.unresolved_by_worker.pop(worker):
+                if RunKey(task.key, number) not in seen:
+                    self._ends.requeue(task, number)
 
     def _note_gone(
         self,
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -80,14 +80,14 @@
 
     def keep_worker(self, entry: WorkerEntry) -> None:
         """Put a worker into the journal, for the next owner to look for."""
-        key, value = worker_key(entry.worker), encode(entry)
+        key, value = worker_key(entry.name), encode(entry)
         if self.writer.view.value_by_key.get(key) != value:
             self.writer.put(key, value)
 
-    def drop_worker(self, worker: WorkerId) -> None:
+    def drop_worker(self, books: WorkerBooks) -> None:
         """Take a worker out of the journal: its life is over."""
-        self.writer.put(worker_key(worker), b'')
-        self.paces.forget(worker)
+        self.writer.put(worker_key(books.entry.name), b'')
+        self.paces.forget(books.worker)
 
     def note_change(self, job: Job) -> None:
         """Have the job's steps looked at again."""
--- a/orchidrail/types.py
+++ b/orchidrail/types.py
@@ -5,7 +5,10 @@
 from enum import Enum
 from typing import NewType
 
+#: One life of a worker; it never comes again.
 WorkerId = NewType('WorkerId', str)
+#: What a worker registers under; it may start again under the same.
+WorkerName = NewType('WorkerName', str)
 SchedulerId = NewType('SchedulerId', str)
 ZoneId = NewType('ZoneId', str)
 TenantId = NewType('TenantId', str)
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -29,6 +29,7 @@
     Verdict,
     WorkCode,
     WorkerId,
+    WorkerName,
     ZoneId,
 )
 
@@ -519,7 +520,7 @@
     """Ask the advice service which workers may run a step."""
 
     step_key: str
-    workers: list[WorkerId]
+    workers: list[WorkerName]
     timeout: float
 
 
@@ -527,7 +528,7 @@
     """Tickets of the workers that may; `known` is false without an answer."""
 
     known: bool
-    workers: list[WorkerId] = []
+    workers: list[WorkerName] = []
     tickets: list[str] = []
     valid: float = 0
 
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -23,6 +23,7 @@
     TaskRow,
 )
 from orchidrail.work.waits import Waits
+from orchidrail.workers.lives import life_of, split_life
 from orchidrail.workers.port import RunEnding
 
 #: Suspicion of crashing workers from which a task is tried apart from others.
@@ -78,24 +79,26 @@
 
     def row(self) -> TaskRow:
         """Return what the journal keeps of the task."""
+        name, born = split_life(self.worker)
         return TaskRow(
             self.step.round_number,
             self.step.number,
             self.index,
             self.phase,
             self.run,
-            self.worker,
+            name,
             self.failures,
             self.checkpoint,
             self.crashes,
             self.suspicion,
+            born,
         )
 
     def restore(self, row: TaskRow) -> None:
         """Take what the journal kept."""
         self.phase = TaskPhase(row.phase)
         self.run = row.run
-        self.worker = row.worker
+        self.worker = life_of(row.worker, row.born)
         self.failures = row.failures
         self.checkpoint = row.checkpoint
         self.crashes = row.crashes
@@ -348,7 +351,7 @@
             task = self.find_task(row.round_number, row.step, row.index)
             if task is not None:
                 task.restore(row)
-                self.workers.add(row.worker)
+                self.workers.add(task.worker)
                 self.begun = True
         if progress.rows:
             self.phase = JobPhase.RUNNING
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -14,7 +14,7 @@
     JobId,
     RunNumber,
     Seconds,
-    WorkerId,
+    WorkerName,
 )
 from orchidrail.work.model import JobSpec, QueueSettings
 
@@ -95,12 +95,15 @@
     index: int
     phase: TaskPhase
     run: RunNumber = RunNumber(0)
-    worker: WorkerId = WorkerId('')
+    worker: WorkerName = WorkerName('')
     failures: int = 0
     checkpoint: str = ''
     #: Workers that ended under it, and how far that speaks against it.
     crashes: int = 0
     suspicion: int = 0
+    #: Which life of the worker has it; None where the worker doesn't tell, and
+    #: in journals of older versions.
+    born: int | None = None
 
 
 class Progress(msgspec.Struct, array_like=True):
@@ -140,9 +143,9 @@
     return f'{_PROGRESS_PREFIX}{job_id}'
 
 
-def worker_key(worker: WorkerId) -> str:
+def worker_key(name: WorkerName) -> str:
     """Return the journal's key of a worker that the owner deals with."""
-    return f'{_WORKER_PREFIX}{worker}'
+    return f'{_WORKER_PREFIX}{name}'
 
 
 def worker_values(value_by_key: dict[str, bytes]) -> list[bytes]:
--- a/orchidrail/workers/port.py
+++ b/orchidrail/workers/port.py
@@ -15,8 +15,10 @@
     ServiceName,
     TaskKey,
     WorkerId,
+    WorkerName,
 )
 from orchidrail.work.model import Size
+from orchidrail.workers.lives import life_of
 
 
 class WorkerState(Enum):
@@ -31,8 +33,8 @@
 
     Parameters
     ----------
-    worker : str
-        Never used again after this life.
+    name : str
+        The next life may have it too.
     labels : tuple of str
         Its kind and its rack, the rack last.
     leaves_in : float
@@ -41,7 +43,8 @@
         When this life started, Unix milliseconds; None if it doesn't tell.
     """
 
-    worker: WorkerId
+    #: Journals of older versions call it so.
+    name: WorkerName = msgspec.field(name='worker')
     service: ServiceName
     address: Address
     zone: str
@@ -51,6 +54,11 @@
     leaves_in: Seconds = 0
     born: int | None = None
 
+    @property
+    def worker(self) -> WorkerId:
+        """The life that registers itself."""
+        return life_of(self.name, self.born)
+
     @property
     def rack(self) -> str:
         """The rack it stands in, empty if it names none."""
@@ -173,7 +181,11 @@
 
 
 class WorkerCalls(Protocol):
-    """Orders to workers; none of them raises for a failure outside."""
+    """Orders to workers; none of them raises for a failure outside.
+
+    An order is carried out by the life that the entry names, or by none, where
+    both the entry and the worker tell lives apart.
+    """
 
     async def start(
         self,
@@ -208,13 +220,20 @@
     valid: Seconds
 
 
+class NamedTickets(NamedTuple):
+    """The same as the service gives it: it knows workers by their names."""
+
+    ticket_by_name: dict[WorkerName, str]
+    valid: Seconds
+
+
 class AdviceCalls(Protocol):
     """The service that knows which workers may run a step."""
 
     async def advise(
         self,
         step_key: str,
-        workers: list[WorkerId],
+        names: list[WorkerName],
         timeout: Seconds,
-    ) -> Advice | None:
+    ) -> NamedTickets | None:
         """Ask about some workers; None if there is no answer."""
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -1,7 +1,10 @@
 """One owner's dealings with one life of a worker.
 
 The session keeps the lease alive, hears of ends and acknowledges them once
-they are in the journal. It reports to an observer and decides nothing.
+they are in the journal. It reports to an observer and decides nothing. A worker
+that is back under its name gets a session of its own: numbers of ends, clock
+and fence begin anew there, and an acknowledgement that outlived its life made
+ends vanish (up to 38 tasks started again on a modelled day of 30 s).
 """
 
 from __future__ import annotations
@@ -11,6 +14,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+import msgspec
 import structlog
 
 from orchidrail.tasks import TaskSet
@@ -100,6 +104,8 @@
     ) -> None:
         """Start without having heard of the worker."""
         self.entry = entry
+        #: The life that this session deals with.
+        self.worker: WorkerId = entry.worker
         self.lease = lease
         self.epoch = epoch
         self.over = False
@@ -118,12 +124,6 @@
         self._failures = 0
         self._last_seen = 0
         self._last_heard = 0
-        self._born: int | None = None
-
-    @property
-    def worker(self) -> WorkerId:
-        """The life that this session deals with."""
-        return self.entry.worker
 
     @property
     def fallen_silent(self) -> bool:
@@ -182,6 +182,18 @@
         if not self.over and not self._looks:
             self._looks.spawn(self._look_once(0))
 
+    def is_life_of(self, born: int | None) -> bool:
+        """Tell whether what says that it was born then may be this life.
+
+        What is heard first is taken for it, where the entry names no start. Who
+        names none is believed.
+        """
+        if born is None:
+            return True
+        if self.entry.born is None and not self.fence_raised:
+            self.entry = msgspec.structs.replace(self.entry, born=born)
+        return born == self.entry.born
+
     def end_life(self) -> None:
         """Note that this life is over."""
         if not self.over:
@@ -189,6 +201,11 @@
             self.reachable = False
             self._observer.on_life_over(self)
 
+    def close(self) -> None:
+        """Take no further answers; what runs there may run on."""
+        self.over = True
+        self.reachable = False
+
     def take_answer(self, answer: OrderAnswer) -> None:
         """Take what an answer tells of the worker's life and clock."""
         if answer.clock is not None:
@@ -216,20 +233,31 @@
             order,
             wait + _LOOK_SLACK,
         )
+        if self.over:
+            # What an answer says of a life that is over helps nobody.
+            return
         if isinstance(answer, Listing):
             await self._take_listing(answer, sent_at)
         else:
             await self._take_failure(answer)
 
     async def _take_listing(self, listing: Listing, sent_at: Seconds) -> None:
-        self._tell_life(listing)
+        if not self.is_life_of(listing.born):
+            self._tell_other_life(listing)
+            self.end_life()
+            return
         first = not self.lease.known
         self.heard_at = self._clock()
         self.lease.observe(listing.clock, self.heard_at)
         if first:
             self.lease.adopt(self._clock())
         if not self.reachable:
-            _log.info('worker reached', worker=self.worker)
+            _log.info(
+                'worker reached',
+                worker=self.worker,
+                born=listing.born,
+                clock=round(listing.clock, 3),
+            )
         self.reachable = True
         self._failures = 0
         self.fence_raised = True
@@ -242,24 +270,21 @@
         if await _all_written(writes):
             self._last_seen = max(self._last_seen, *numbers)
 
-    def _tell_life(self, listing: Listing) -> None:
-        """Tell who answers, where that is somebody else than before."""
-        if listing.born != self._born:
-            _log.info(
-                'life of worker',
-                worker=self.worker,
-                born=listing.born,
-                before=self._born,
-                clock=round(listing.clock, 3),
-                expected_clock=self._expected_clock(),
-                ends=[ended.number for ended in listing.ended],
-                acknowledged=self._last_seen,
-            )
-        self._born = listing.born
+    def _tell_other_life(self, listing: Listing) -> None:
+        _log.info(
+            'worker has started again',
+            worker=self.worker,
+            born=listing.born,
+            clock=round(listing.clock, 3),
+            expected_clock=self._expected_clock(),
+            ends=[ended.number for ended in listing.ended],
+            acknowledged=self._last_seen,
+        )
 
     def _expected_clock(self) -> Seconds | None:
-        known = self.lease.known
-        return round(self.lease.clock_at(self._clock()), 3) if known else None
+        if not self.lease.known:
+            return None
+        return round(self.lease.clock_at(self._clock()), 3)
 
     async def _take_failure(self, answer: OrderAnswer) -> None:
         self.take_answer(answer)
--- a/orchidrail/workers/tests/test_session.py
+++ b/orchidrail/workers/tests/test_session.py
@@ -125,3 +125,56 @@
         self.worker.hold_result = OrderResult.FENCED
         asyncio.run(self.session._look())
         self.assertEqual(1, self.observer.fenced)
+
+    def test_the_next_life_gets_no_acknowledgement_of_this_one(self) -> None:
+        """Ends are numbered anew there; it would forget what nobody heard."""
+
+        async def scene() -> None:
+            await self.session._look()
+            self.worker.end(_KEY, RunEnding.DONE)
+            await self.session._look()
+            self.worker.born = 2000
+            await self.session._look()
+            self.assertTrue(self.session.over)
+            looks = len(self.worker.holds)
+            await self.session.run()
+            self.assertEqual(looks, len(self.worker.holds))
+
+        self.worker.born = 1000
+        asyncio.run(scene())
+        self.assertEqual(1, self.observer.over)
+        born = [listing.born for listing in self.observer.listings]
+        self.assertEqual([1000, 1000], born)
+
+    def test_an_answer_that_comes_after_the_life_is_over_is_dropped(
+        self,
+    ) -> None:
+        async def scene() -> None:
+            looking = asyncio.create_task(self.session._look())
+            await asyncio.sleep(0)
+            self.session.end_life()
+            await looking
+
+        asyncio.run(scene())
+        self.assertEqual([], self.observer.listings)
+        self.assertEqual(1, self.observer.over)
+
+    def test_a_worker_that_tells_no_start_is_believed(self) -> None:
+        async def scene() -> None:
+            for born in (1000, None, 1000):
+                self.worker.born = born
+                await self.session._look()
+
+        asyncio.run(scene())
+        self.assertFalse(self.session.over)
+
+    def test_a_start_that_is_told_later_is_that_of_another_life(self) -> None:
+        """Its software was replaced, which it does not outlive."""
+
+        async def scene() -> None:
+            await self.session._look()
+            self.worker.born = 1000
+            await self.session._look()
+
+        asyncio.run(scene())
+        self.assertTrue(self.session.over)
--- a/standins/model/judging.py
+++ b/standins/model/judging.py
@@ -108,7 +108,7 @@
         Part of all cores free while tasks waited, mean over the traffic.
     overfull, doubled, repeated : int
         Broken promises: workers past their room, two runs of a task at once,
-        starts of a task after an end that was done and acknowledged.
+        starts of a task after a run that was done and acknowledged.
     """
 
     worth: float
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -147,8 +147,8 @@
     same : bool
         Whether it is always the same workers.
     returns : list of float
-        Seconds until they start again under the ids that they had, one after
-        the other; empty if they come back under new ones.
+        Seconds until they start again under the names that they had, one
+        after the other; empty if they come back as the day says.
     """
 
     at: Seconds
@@ -176,7 +176,9 @@
     slow_share, slow_times : float
         Share of the workers that are slower, and by which factor.
     restart : float
-        Seconds until a crashed worker is back under a new name.
+        Seconds until a crashed worker is back.
+    keeps_names : bool
+        Whether it is back under the name that it had.
     lanes : int
         Machines through which advice may be asked for.
     lasts : float
@@ -193,6 +195,7 @@
     slow_share: float = 0
     slow_times: float = 1.3
     restart: Seconds = 3.2
+    keeps_names: bool = False
     lanes: int = 7
     lasts: Seconds = 30
     surges: list[Surge] = []
--- a/standins/tests/test_returning_workers.py
+++ b/standins/tests/test_returning_workers.py
@@ -15,6 +15,7 @@
 
 import pathlib
 
+import msgspec
 from testtools import TestCase
 
 from standins.model import CellModel, Outcome
@@ -32,3 +33,11 @@
         outcome = _play(seed=1)
         self.assertGreater(outcome.crashes.lost_beside, 0)
         self.assertEqual((0, 0), (outcome.repeated, outcome.doubled))
+
+    def test_a_task_that_crashes_workers_is_given_up_all_the_same(self) -> None:
+        load = read_load(str(_DAYS / 'crashing.toml'))
+        load = msgspec.structs.replace(load, keeps_names=True)
+        outcome = CellModel(load, seed=1).play()
+        self.assertGreater(outcome.crashes.crashing, 0)
+        self.assertEqual(0, outcome.crashes.over_budget)
+        self.assertEqual((0, 0), (outcome.repeated, outcome.doubled))
