--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,11 @@
 from soak.system import Instance
 from soak.workers import WorkerStandIn
 
+#: Share of the crashed workers that are back under their names.
+_KEEPS_NAME = 0.7
+#: Seconds until a worker crashes again: before it is looked at again, between
+#: two looks, and once it is at work.
+_CRASH_AGAIN = (0.01, 0.3, 1.5)
 _HARMS = (Harm.DELAY, Harm.RESET, Harm.SILENCE, Harm.MUTE_ANSWERS)
 
 
@@ -25,8 +30,10 @@
         workers: list[WorkerStandIn],
         worker_links: list[Proxy],
         random: Random,
+        returns: Random | None = None,
     ) -> None:
-        """Do nothing yet."""
+        """Do nothing yet; `returns` has crashed workers keep their names."""
+        self._returns = returns
         self.count: Counter[str] = Counter()
         self._instances = instances
         self._workers = workers
@@ -132,7 +139,19 @@
                 link.reset_all()
 
     async def _crash_worker(self) -> None:
-        self._random.choice(self._workers).crash()
+        worker = self._random.choice(self._workers)
+        if self._returns is None:
+            worker.crash()
+        else:
+            await self._crash_again(worker, self._returns)
+
+    async def _crash_again(self, worker: WorkerStandIn, random: Random) -> None:
+        """Crash a worker once, or again while it is met again."""
+        for _ in range(random.randint(1, 3)):
+            keeps_name = random.random() < _KEEPS_NAME
+            self.count['return_under_name'] += keeps_name
+            worker.crash(keeps_name=keeps_name)
+            await asyncio.sleep(random.choice(_CRASH_AGAIN))
 
     async def _drain_worker(self) -> None:
         worker = self._random.choice(self._workers)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -44,6 +44,7 @@
         self.delay = 0.1
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._upstreams: set[asyncio.StreamWriter] = set()
 
     async def start(self, stack: AsyncExitStack, host: str, port: int) -> None:
         """Listen until the stack closes."""
@@ -62,6 +63,15 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
+    def break_all(self) -> None:
+        """End every connection on both sides: the target is another process.
+
+        What was held up is lost; it can't reach the next one.
+        """
+        self.reset_all()
+        for upstream in tuple(self._upstreams):
+            upstream.transport.abort()
+
     async def _pass_on(
         self,
         reader: asyncio.StreamReader,
@@ -73,6 +83,7 @@
             if self.harm is Harm.RESET:
                 return
             back, upstream = await asyncio.open_connection(*self._target())
+            self._upstreams.add(upstream)
             await asyncio.gather(
                 self._copy(reader, upstream, answers=False),
                 self._copy(back, writer, answers=True),
@@ -83,6 +94,7 @@
             self._writers.discard(writer)
             _reset(writer)
             if upstream is not None:
+                self._upstreams.discard(upstream)
                 upstream.close()
 
     async def _copy(
--- a/soak/run.py
+++ b/soak/run.py
@@ -74,7 +74,8 @@
     folder : pathlib.Path
         For settings files and logs.
     crashing : bool
-        Whether some jobs crash workers, and rooms shrink.
+        Whether some jobs crash workers, rooms shrink, and workers keep their
+        names when they start again.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
     ) -> None:
         """Prepare; nothing is started yet."""
         self._crashing = Random(f'crashing {seed}') if crashing else None
+        self._returns = Random(f'returns {seed}') if crashing else None
         self.ledger = Ledger()
         self._network = f'127.{slot}'
         self._random = Random(seed)
@@ -109,6 +111,8 @@
             Proxy(functools.partial(self._worker_at, number))
             for number in range(_WORKERS)
         ]
+        for worker, link in zip(self._workers, self._links, strict=True):
+            worker.on_crash = link.break_all
         self._instances = [
             Instance(
                 f'instance-{zone}-{number}',
@@ -139,6 +143,7 @@
                 self._workers,
                 self._links,
                 self._random,
+                self._returns,
             )
             until = time.monotonic() + seconds
             await asyncio.gather(
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
@@ -28,6 +29,8 @@
 _ROOM_HEARD_WITHIN = 4.5
 #: An entry goes after three heartbeats of 1.5 s.
 _ENTRY_LAPSES = 4.5
+#: Milliseconds by which each life seems to have begun before the last one.
+_BORN_BACK = 60_000
 _lives = itertools.count(1)
 
 
@@ -61,12 +64,18 @@
         self._store = store
         self._ledger = ledger
         self._gangs = gangs
-        self._clock_offset = 100.0 * number
+        #: Told of each crash, which ends all connections.
+        self.on_crash: Callable[[], None] = _nothing
         self.begin_life()
 
-    def begin_life(self) -> None:
-        """Forget everything, under a new id."""
-        self.life = f'i-{next(_lives):06d}'
+    def begin_life(self, *, keeps_name: bool = False) -> None:
+        """Forget everything, under a new name or the one before."""
+        self.number = next(_lives)
+        if not keeps_name:
+            self.name = f'i-{self.number:06d}'
+        #: Not in order: the time of day may have jumped in between.
+        self.born = int(time.time() * 1000) - self.number * _BORN_BACK
+        self._clock_begins = time.monotonic()
         self._fence = 0
         self._run_by_key: dict[tuple[str, int], _Run] = {}
         self._newest_ended: dict[str, int] = {}
@@ -88,18 +97,21 @@
             'capacity': {'cpu': self.cores, 'memMb': 64_000},
             'labels': ['kind', self._rack],
             'remainingMs': remaining_ms,
-            'sequence': 1,
+            'sequence': self.number,
+            'born': self.born,
         }
         raw = json.dumps(entry).encode()
-        self._store.put('keyed.servers', self.life, raw)
+        self._store.put('keyed.servers', self.name, raw)
 
-    def crash(self) -> None:
-        """Lose everything; the entry of this life lapses later."""
+    def crash(self, *, keeps_name: bool = False) -> None:
+        """Lose everything and be back at once; an old entry lapses later."""
         for key, run in list(self._run_by_key.items()):
             self._remove(key, run, 'crashed')
-        loop = asyncio.get_running_loop()
-        loop.call_later(_ENTRY_LAPSES, self._leave, self.life)
-        self.begin_life()
+        if not keeps_name:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_ENTRY_LAPSES, self._leave, self.name)
+        self.on_crash()
+        self.begin_life(keeps_name=keeps_name)
 
     def _crashes(self, task: str) -> bool:
         """Whether a task is the one of its job that crashes workers."""
@@ -107,10 +119,10 @@
         job = self._ledger.job_by_id.get(job_id)
         return job is not None and job.crashing and step == index == '0'
 
-    def _crash_by(self, task: str, life: str) -> None:
-        if self.life == life:
+    def _crash_by(self, task: str, life: int) -> None:
+        if self.number == life:
             self._ledger.task_by_key[task].crashes += 1
-            self.crash()
+            self.crash(keeps_name=bool(life % 2))
 
     async def shrink(self, seconds: float) -> None:
         """Have half of the room for a while, and say so."""
@@ -126,11 +138,11 @@
     async def drain(self, *, silently: bool) -> None:
         """Leave as planned, saying so or not, then come back empty."""
         if silently:
-            self._leave(self.life)
+            self._leave(self.name)
         else:
             self.enter('draining', int(_DRAINS_FOR * 1000))
         await asyncio.sleep(_DRAINS_FOR + 0.3)
-        self._leave(self.life)
+        self._leave(self.name)
         for key, run in list(self._run_by_key.items()):
             self._remove(key, run, 'left')
         self.begin_life()
@@ -147,7 +159,7 @@
     async def serve(self, request: Request) -> Response:
         """Answer one order."""
         expected = (request.get_first_header(_LIFE) or b'').decode()
-        if expected != self.life:
+        if expected != self.name:
             return answer(421)
         order = json.loads(await request.read() or b'{}')
         if order.get('fencingToken', 0) < self._fence:
@@ -161,7 +173,7 @@
         return await self._hold(order)
 
     def _clock_ms(self) -> int:
-        return int((time.monotonic() + self._clock_offset) * 1000)
+        return int((time.monotonic() - self._clock_begins) * 1000)
 
     def _start(self, order: dict[str, Any]) -> Response:
         key = order['taskId'], order['runId']
@@ -173,18 +185,18 @@
         self._extend_lease(order['deadlineMs'])
         if order['runId'] <= self._newest_ended.get(order['taskId'], 0):
             return answer(409, {'clockMs': now_ms, 'reason': 'old'})
-        self._ledger.note_start(order['taskId'], order['spec'], self.life)
+        self._ledger.note_start(order['taskId'], order['spec'], self.name)
         self._run_by_key[key] = self._make_run(*key)
         if self._crashes(order['taskId']):
             asyncio.get_running_loop().call_later(
                 _CRASHES_AFTER,
                 self._crash_by,
                 order['taskId'],
-                self.life,
+                self.number,
             )
         used = sum(run.size for run in self._run_by_key.values())
         if used > self._judged_cores:
-            self._ledger.breach('LIMIT', f'{self.life} runs {used}')
+            self._ledger.breach('LIMIT', f'{self.name} runs {used}')
         return answer(200, {'clockMs': now_ms})
 
     def _make_run(self, task: str, number: int) -> _Run:
@@ -220,17 +232,18 @@
         ]
         if 'deadlineMs' in order:
             self._extend_lease(order['deadlineMs'])
-        life = self.life
+        life = self.number
         if order.get('waitMs') and not self._ended:
             with suppress(TimeoutError):
                 await asyncio.wait_for(
                     self._ended_some.wait(),
                     order['waitMs'] / 1000,
                 )
-        if life != self.life:
-            return answer(421)
+        if life != self.number:
+            return answer(503)
         listing = {
             'clockMs': self._clock_ms(),
+            'born': self.born,
             'active': [
                 [task, number, '', int(100 / (1 + 100 * max(0, run.left)))]
                 for (task, number), run in self._run_by_key.items()
@@ -240,7 +253,7 @@
         return answer(200, listing)
 
     def _extend_lease(self, deadline_ms: float) -> None:
-        own = deadline_ms / 1000 - self._clock_offset
+        own = deadline_ms / 1000 + self._clock_begins
         most = time.monotonic() + _MOST_HOLD
         self._lease_ends = max(self._lease_ends, min(own, most))
 
@@ -277,10 +290,14 @@
         self._run_by_key.pop(key)
         if run.members > 1 and how != 'done':
             self._gangs.get(_gang_key(*key), set()).discard(key[0])
-        self._ledger.note_end(key[0], self.life, how)
+        self._ledger.note_end(key[0], self.name, how)
+
+    def _leave(self, name: str) -> None:
+        self._store.put('keyed.servers', name, b'')
+
 
-    def _leave(self, life: str) -> None:
-        self._store.put('keyed.servers', life, b'')
+def _nothing() -> None:
+    """Have no connections to end."""
 
 
 def _gang_key(task: str, number: int) -> str:
