--- a/orchidrail/instance/config_follower.py
+++ b/orchidrail/instance/config_follower.py
@@ -10,7 +10,7 @@
 
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
-from orchidrail.types import Seconds
+from orchidrail.types import Seconds, ServiceName
 from orchidrail.work.model import CellConfig
 
 _log = structlog.get_logger()
@@ -48,6 +48,12 @@
         self._decode = decode
         self._raw = b''
 
+    def services(self) -> set[ServiceName] | None:
+        """Return the services that run queues, None before a configuration."""
+        if self.current is None:
+            return None
+        return {queue.service for queue in self.current.queues}
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -208,6 +208,7 @@
             self.settings.bounds.stop_takes,
             self.settings.bounds.status_kept,
             self.metrics,
+            self.config.services,
         )
 
     def _doubt_connections(self) -> None:
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -197,6 +197,12 @@
             'queue',
             'ending',
         )
+        self.bad_entries = self._count(
+            'worker_entries_passed_over',
+            'Entries that name no worker which could be used, by flaw; each '
+            'is counted once while it has the same one.',
+            'flaw',
+        )
         self.runs_not_listed = self._count(
             'runs_not_listed',
             'Runs taken for gone since their worker listed no end of them.',
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -22,6 +24,7 @@
     Size,
     StepSpec,
 )
+from orchidrail.workers.entries import BadEntry, EntryFlaw
 from orchidrail.workers.lives import SEPARATOR
 from orchidrail.workers.port import WorkerEntry, WorkerState
 
@@ -31,6 +34,13 @@
 #: The port named for metrics in `deploy/system.toml`.
 METRICS_PORT = 9464
 _MAX_TEXT_BYTES = 4000
+#: Bytes of an entry that are quoted.
+_SHOWN = 120
+_MOST_BITS = 53
+#: Beyond any room or count of a worker; a start fits for 280,000 years.
+_MOST = 1 << _MOST_BITS
+#: What decoding bytes of any origin may raise.
+UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 #: Field of `Bounds` and divisor, by the name of a line.
 _BOUND_BY_KEY = {
     'maxHoldMs': ('longest_lease', _MILLIS),
@@ -72,22 +82,34 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+#: Host and port; what is not used is checked all the same, since an entry by
+#: somebody else names no worker.
+_HostPort = Annotated[str, msgspec.Meta(pattern=r'^[^\s:/@]+:[1-9]\d{0,4}$')]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MOST)]
+_Amount = Annotated[int, msgspec.Meta(gt=0, le=_MOST)]
+
+
 class _Capacity(msgspec.Struct, rename='camel'):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Count = 0
 
 
 class _Worker(msgspec.Struct, rename='camel'):
-    service: str
-    address: str
-    zone: str = ''
-    state: str = 'ready'
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
-    labels: list[str] = []
-    remaining_ms: float = 0
+    service: _Text
+    address: _HostPort
+    zone: _Text
+    state: WorkerState
+    capacity: _Capacity
+    labels: list[str]
+    version: str = ''
+    slots: _Count = 0
+    sequence: _Count = 0
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     #: Start of its life, Unix milliseconds.
-    born: int | None = None
+    born: _Count | None = None
 
 
 class _Step(msgspec.Struct, rename='camel'):
@@ -133,7 +155,7 @@
     """Decode the operator's configuration."""
     try:
         config = _decode_config(raw)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         return Err(str(error))
     limits = IngressLimits(
         config.limits.max_header_bytes,
@@ -145,15 +167,23 @@
     return Ok(CellConfig(config.version, queues, limits))
 
 
-def decode_worker(worker: str, raw: bytes) -> Result[WorkerEntry, str]:
-    """Decode what a worker registers of itself."""
-    if SEPARATOR in worker:
-        return Err(f'{worker!r}, expected a name without {SEPARATOR!r}')
+def decode_worker(
+    worker: str,
+    raw: bytes,
+) -> Result[WorkerEntry, BadEntry]:
+    """Decode what a worker registers of itself, or what somebody else wrote.
+
+    What is missing has no default where placing needs it.
+    """
+    if not worker or SEPARATOR in worker:
+        reason = f'{worker!r}, expected a name without {SEPARATOR!r}'
+        return Err(BadEntry(EntryFlaw.NAME, reason))
     try:
         entry = _decode_worker(raw)
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
-    draining = entry.state == 'draining'
+    except msgspec.ValidationError as error:
+        return Err(BadEntry(EntryFlaw.FIELD, _describe(raw, error)))
+    except UNREADABLE as error:
+        return Err(BadEntry(EntryFlaw.UNREADABLE, _describe(raw, error)))
     return Ok(
         WorkerEntry(
             name=WorkerName(worker),
@@ -166,7 +196,7 @@
                 entry.capacity.gpu,
             ),
             labels=tuple(entry.labels),
-            state=WorkerState.DRAINING if draining else WorkerState.READY,
+            state=entry.state,
             leaves_in=entry.remaining_ms / _MILLIS,
             born=entry.born,
         )
@@ -177,7 +207,7 @@
     """Decode and check the body of a submission."""
     try:
         job = _decode_job(raw)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return Err(str(error))
     if len(job.spec.encode()) > _MAX_TEXT_BYTES:
         return Err(f'expected at most {_MAX_TEXT_BYTES} bytes of text')
@@ -202,6 +232,11 @@
     )
 
 
+def _describe(raw: bytes, error: Exception) -> str:
+    """Quote what could not be decoded, and what was expected."""
+    return f'{raw[:_SHOWN]!r}: {error}'
+
+
 def decode_settings(text: str) -> InstanceSettings:
     """Decode a process's settings file; unknown lines are passed over.
 
--- a/orchidrail/platform/store_log.py
+++ b/orchidrail/platform/store_log.py
@@ -180,8 +180,8 @@
         position += _LENGTH.size
         record = body[position : position + length]
         position += length
-        key_end = 1 + record[0]
-        records.append(
-            KeyedRecord(record[1:key_end].decode(), record[key_end:])
-        )
+        key_end = 1 + record[0] if record else 0
+        # Somebody else's key may be any bytes; it then names nothing of ours.
+        key = record[1:key_end].decode(errors='replace')
+        records.append(KeyedRecord(key, record[key_end:]))
     return RecordPage(Offset(end), records)
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -26,6 +26,7 @@
 from orchidrail.testing import AsyncTestCase
 from orchidrail.types import Epoch, Offset, RunNumber, TaskKey
 from orchidrail.work.model import Size
+from orchidrail.workers.entries import EntryFlaw
 from orchidrail.workers.port import (
     HoldOrder,
     Listing,
@@ -109,6 +110,28 @@
         self.assertEqual(expected, page)
 
 
+_NEEDED = ('service', 'address', 'zone', 'state', 'capacity', 'labels')
+
+
+def _entry(**changes: object) -> bytes:
+    """Return an entry with other fields; None leaves one out."""
+    fields: dict[str, object] = {
+        'service': 's',
+        'address': '10.1.0.5:8500',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'sequence': 4,
+        'warmupLeftMs': 0,
+        'capacity': {'cpu': 64000, 'memMb': 262144, 'gpu': 0},
+        'labels': ['a', 'r1-3'],
+    }
+    fields |= changes
+    kept = {key: one for key, one in fields.items() if one is not None}
+    return json.dumps(kept, separators=(',', ':')).encode()
+
+
 class _Caller:
     def __init__(self, answer: RawAnswer) -> None:
         self.answer = answer
@@ -236,19 +259,62 @@
         self.assertEqual(('r1-3', 4), (entry.rack, entry.leaves_in))
 
     def test_a_life_of_a_worker(self) -> None:
-        raw = b'{"service":"s","address":"a:1","born":1712345678901}'
+        raw = _entry(born=1712345678901)
         entry = self.assert_ok(documents.decode_worker('i-1', raw))
         self.assertEqual('i-1', entry.name)
         self.assertEqual('i-1@1712345678901', entry.worker)
 
     def test_a_start_that_is_no_whole_number_names_no_worker(self) -> None:
-        for born in (b'"1712345678901"', b'1.5', b'true', b'[1]'):
-            raw = b'{"service":"s","address":"a:1","born":%s}' % born
-            self.assertIsInstance(documents.decode_worker('i-1', raw), Err)
+        for born in ('1712345678901', 1.5, True, [1], -5):
+            flaw = self.flaw_of(_entry(born=born))
+            self.assertIs(EntryFlaw.FIELD, flaw)
 
     def test_a_name_that_looks_like_a_life_names_no_worker(self) -> None:
-        raw = b'{"service":"s","address":"a:1"}'
-        self.assertIsInstance(documents.decode_worker('i-1@5', raw), Err)
+        for name in ('i-1@5', ''):
+            flaw = self.flaw_of(_entry(), name)
+            self.assertIs(EntryFlaw.NAME, flaw)
+
+    def flaw_of(self, raw: bytes, name: str = 'i-1') -> EntryFlaw:
+        outcome = documents.decode_worker(name, raw)
+        assert isinstance(outcome, Err)
+        return outcome.err_value.flaw
+
+    def test_an_entry_that_lacks_a_field_names_no_worker(self) -> None:
+        self.assert_ok(documents.decode_worker('i-1', _entry()))
+        for field in _NEEDED:
+            flaw = self.flaw_of(_entry(**{field: None}))
+            self.assertIs(EntryFlaw.FIELD, flaw)
+
+    def test_an_entry_by_another_writer_names_no_worker(self) -> None:
+        for field, given in (
+            ('service', ''), ('service', 7), ('address', ''),
+            ('address', 'nowhere'), ('address', 'a:0'), ('address', 'a:b'),
+            ('zone', ''), ('zone', ['z']), ('state', 'resting'),
+            ('state', 1), ('capacity', {}), ('capacity', 64),
+            ('capacity', {'cpu': -1, 'memMb': 5}),
+            ('capacity', {'cpu': 5}), ('capacity', {'cpu': 1.5, 'memMb': 5}),
+            ('capacity', {'cpu': 5, 'memMb': 5, 'gpu': -1}),
+            ('labels', 'kind'), ('labels', [1]), ('slots', '8'),
+            ('sequence', 'x'), ('version', 3), ('warmupLeftMs', -4),
+            ('remainingMs', '9'),
+        ):  # fmt: skip
+            flaw = self.flaw_of(_entry(**{field: given}))
+            self.assertIs(EntryFlaw.FIELD, flaw, (field, given))
+        for raw in (
+            b'',
+            b'\xff\xfe',
+            b'{',
+            b'{"x":' + b'[' * 100_000,
+            b'{"service":"\xff"}',
+        ):
+            self.assertIs(EntryFlaw.UNREADABLE, self.flaw_of(raw))
+        self.assertIs(EntryFlaw.FIELD, self.flaw_of(b'[]'))
+
+    def test_the_reason_quotes_what_was_met(self) -> None:
+        outcome = documents.decode_worker('i-1', _entry(state='resting'))
+        assert isinstance(outcome, Err)
+        self.assertIn("'resting'", outcome.err_value.reason)
+        self.assertIn('"state":"resting"', outcome.err_value.reason)
 
     def test_a_configuration(self) -> None:
         raw = (
--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Callable
 from functools import partial
+from typing import TypeVar
 
 import msgspec
+import structlog
 
+from orchidrail.platform.documents import UNREADABLE
 from orchidrail.platform.greetings import Greeting
 from orchidrail.platform.http_calls import HttpCaller
 from orchidrail.store.relay import RawAnswer, RawCall
@@ -32,16 +35,21 @@
     WorkerEntry,
 )
 
+_log = structlog.get_logger()
+_Body = TypeVar('_Body')
+#: Bytes of an answer that are quoted.
+_SHOWN = 120
 _OK = 200
 _LIFE_HEADER = 'X-Orchidrail-Expect-Instance'
 _START = '/run-start'
 _STOP = '/run-stop'
 _LOOK = '/hold'
 _MILLIS = 1000
+_BAD_REQUEST = 400
 #: How the platform says that another life answers.
 _MISDIRECTED = 421
 _RESULT_BY_STATUS = {
-    400: OrderResult.INVALID,
+    _BAD_REQUEST: OrderResult.INVALID,
     _MISDIRECTED: OrderResult.OTHER_LIFE,
     429: OrderResult.UNWELL,
     503: OrderResult.UNWELL,
@@ -62,16 +70,38 @@
     reason: str = ''
 
 
+class _ActiveRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str | None = ''
+    percent: float | None = 0
+    #: Over the last half second: the tail of a serving task's answers in
+    #: milliseconds, else the cores in use.
+    load: float | None = 0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: RunEnding
+    checkpoint: str | None = ''
+
+
 class _ListingBody(msgspec.Struct, rename='camel'):
     clock_ms: float
-    active: list[list[str | float | None]] = []
-    ended: list[list[str | float | None]] = []
+    active: list[_ActiveRow] = []
+    ended: list[_EndedRow] = []
     born: int | None = None
 
 
+class _Ticket(msgspec.Struct, array_like=True):
+    name: str
+    ticket: str
+
+
 class _AdviceBody(msgspec.Struct):
-    #: Rows of a worker's id and its ticket.
-    good: list[list[str]] = []
+    good: list[_Ticket] = []
     valid_ms: float = 0
 
 
@@ -139,7 +169,9 @@
         answer = await self._order(entry, _LOOK, body, timeout)
         if answer.status != _OK:
             return _decode_result(answer)
-        listing = _decode_listing(answer.body)
+        listing = _read(_decode_listing, answer.body)
+        if listing is None:
+            return OrderAnswer(OrderResult.INVALID)
         return Listing(
             listing.clock_ms / _MILLIS,
             [_decode_active(row) for row in listing.active],
@@ -186,8 +218,10 @@
         answer = await self._caller.call(self._address(), call)
         if answer.status != _OK:
             return None
-        advice = _decode_advice(answer.body)
-        tickets = {WorkerName(row[0]): row[1] for row in advice.good}
+        advice = _read(_decode_advice, answer.body)
+        if advice is None:
+            return None
+        tickets = {WorkerName(row.name): row.ticket for row in advice.good}
         return NamedTickets(tickets, advice.valid_ms / _MILLIS)
 
 
@@ -208,8 +242,25 @@
     """Return what an order comes to that was preceded by this answer."""
     if answer.status != _OK:
         return answer
-    told = _decode_listing(answer.body).born
-    return None if told is None or told == born else RawAnswer(_MISDIRECTED)
+    listing = _read(_decode_listing, answer.body)
+    if listing is None:
+        return RawAnswer(_BAD_REQUEST)
+    if listing.born is None or listing.born == born:
+        return None
+    return RawAnswer(_MISDIRECTED)
+
+
+def _read(decode: Callable[[bytes], _Body], raw: bytes) -> _Body | None:
+    """Decode an answer of any origin; None, and a line, if that fails."""
+    try:
+        return decode(raw)
+    except UNREADABLE as error:
+        _log.warning(
+            'answer not understood',
+            body=repr(raw[:_SHOWN]),
+            reason=str(error),
+        )
+        return None
 
 
 def _decode_result(answer: RawAnswer) -> OrderAnswer:
@@ -219,7 +270,9 @@
     if answer.status == _OK:
         return OrderAnswer(OrderResult.TAKEN, _decode_clock(answer.body))
     if answer.status == _CONFLICT:
-        body = _decode_order(answer.body)
+        body = _read(_decode_order, answer.body)
+        if body is None:
+            return OrderAnswer(OrderResult.UNKNOWN)
         clock = None if body.clock_ms is None else body.clock_ms / _MILLIS
         result = _RESULT_BY_REASON.get(body.reason, OrderResult.INVALID)
         return OrderAnswer(result, clock)
@@ -229,24 +282,25 @@
 
 
 def _decode_clock(body: bytes) -> Seconds | None:
-    clock = _decode_order(body).clock_ms if body else None
-    return None if clock is None else clock / _MILLIS
+    order = _read(_decode_order, body) if body else None
+    if order is None or order.clock_ms is None:
+        return None
+    return order.clock_ms / _MILLIS
 
 
-def _decode_active(row: list[str | float | None]) -> ActiveRun:
-    load = row[4] if len(row) > 4 else 0
+def _decode_active(row: _ActiveRow) -> ActiveRun:
     return ActiveRun(
-        RunKey(TaskKey(str(row[0])), RunNumber(int(row[1] or 0))),
-        str(row[2] or ''),
-        float(row[3] or 0),
-        float(load or 0),
+        RunKey(TaskKey(row.task), RunNumber(row.run)),
+        row.checkpoint or '',
+        row.percent or 0,
+        row.load or 0,
     )
 
 
-def _decode_ended(row: list[str | float | None]) -> EndedRun:
+def _decode_ended(row: _EndedRow) -> EndedRun:
     return EndedRun(
-        int(row[0] or 0),
-        RunKey(TaskKey(str(row[1])), RunNumber(int(row[2] or 0))),
-        RunEnding(row[3]),
-        str(row[4] or ''),
+        row.number,
+        RunKey(TaskKey(row.task), RunNumber(row.run)),
+        row.how,
+        row.checkpoint or '',
     )
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -17,8 +17,9 @@
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
-from orchidrail.types import Seconds, WorkerId, WorkerName
+from orchidrail.types import Seconds, ServiceName, WorkerId, WorkerName
 from orchidrail.work.records import worker_values
+from orchidrail.workers.entries import BadEntry, EntryFlaw
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import WorkerCalls, WorkerEntry, WorkerState
 from orchidrail.workers.session import WorkerSession
@@ -45,7 +46,7 @@
 _LOOK_AGAIN_AFTER: Seconds = 0.5
 _decode_kept = msgspec.msgpack.Decoder(WorkerEntry).decode
 
-DecodeEntry = Callable[[str, bytes], Result[WorkerEntry, str]]
+DecodeEntry = Callable[[str, bytes], Result[WorkerEntry, BadEntry]]
 
 
 class Fleet:
@@ -61,6 +62,8 @@
     calls : WorkerCalls
     decode : callable
         Decodes an entry.
+    serves : callable
+        Whether any queue is run by a service.
     longest_lease : float
     doubt_until : float
         When runs of an earlier owner have surely ended.
@@ -76,6 +79,7 @@
         calls: WorkerCalls,
         decode: DecodeEntry,
         *,
+        serves: Callable[[ServiceName], bool],
         longest_lease: Seconds,
         doubt_until: Seconds,
         may_renew: Callable[[], bool],
@@ -86,6 +90,11 @@
         self._view = view
         self._calls = calls
         self._decode = decode
+        self._serves = serves
+        #: Entries that are passed over. A worker whose entry is among them gets
+        #: no new work; what runs there keeps its lease, since somebody else may
+        #: have written the entry. To take it for gone would end sound work.
+        self._flaw_by_name: dict[WorkerName, EntryFlaw] = {}
         self._longest_lease = longest_lease
         self._doubt_until = doubt_until
         self._may_renew = may_renew
@@ -152,15 +161,28 @@
                 self._take_entry(name, raw)
                 self._written_at_by_name[name] = now
         for books in self._state.books_by_worker.values():
-            listed = books.entry.name in raw_by_key
-            if listed:
-                books.missing_since = None
-            elif books.missing_since is None:
-                books.missing_since = now
-            self._use_listed(books, listed or now < self._settled_at)
+            self._look_up(books, raw_by_key, now)
         for name in self._raw_by_name.keys() - raw_by_key.keys():
             self._raw_by_name.pop(name)
             self._over_by_name.pop(name, None)
+            self._flaw_by_name.pop(name, None)
+
+    def _look_up(
+        self,
+        books: WorkerBooks,
+        raw_by_key: dict[str, bytes],
+        now: Seconds,
+    ) -> None:
+        """Note whether a worker has an entry, and one that can be used."""
+        name = books.entry.name
+        listed = name in raw_by_key
+        if listed:
+            books.missing_since = None
+        elif books.missing_since is None:
+            books.missing_since = now
+        usable = listed and name not in self._flaw_by_name
+        lapsed = not listed and now < self._settled_at
+        self._use_listed(books, usable or lapsed)
 
     def _use_listed(self, books: WorkerBooks, listed: bool) -> None:
         if books.listed is not listed:
@@ -174,14 +196,16 @@
     def _take_entry(self, name: WorkerName, raw: bytes) -> None:
         decoded = self._decode(name, raw)
         if not isinstance(decoded, Ok):
-            _log.warning(
-                'worker entry not understood',
-                worker=name,
-                reason=decoded.err_value,
-            )
+            self._pass_over(name, decoded.err_value)
             return
         entry = decoded.ok_value
         books = self._books_of(name)
+        if books is None and not self._serves(entry.service):
+            reason = f'{entry.service!r}, expected the service of a queue'
+            self._pass_over(name, BadEntry(EntryFlaw.SERVICE, reason))
+            return
+        if self._flaw_by_name.pop(name, None) is not None:
+            _log.info('worker entry understood', worker=name)
         if books is not None and not books.session.is_life_of(entry.born):
             # A worker starts again only after its life before is over.
             _log.info(
@@ -197,6 +221,19 @@
         elif entry.born is None or entry.worker != self._over_by_name.get(name):
             self._open_session(entry)
 
+    def _pass_over(self, name: WorkerName, bad: BadEntry) -> None:
+        """Use an entry for nothing; tell it once, however often it changes."""
+        if self._flaw_by_name.get(name) is bad.flaw:
+            return
+        self._flaw_by_name[name] = bad.flaw
+        self._state.metrics.bad_entries.labels(bad.flaw.value).inc()
+        _log.warning(
+            'worker entry passed over',
+            worker=name,
+            flaw=bad.flaw.value,
+            reason=bad.reason,
+        )
+
     def _books_of(self, name: WorkerName) -> WorkerBooks | None:
         worker = self._worker_by_name.get(name)
         if worker is None:
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import AsyncExitStack
 from typing import NamedTuple
 
@@ -19,7 +19,7 @@
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
-from orchidrail.types import InstanceId, JobId, Seconds
+from orchidrail.types import InstanceId, JobId, Seconds, ServiceName
 from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, QueueSettings
 from orchidrail.work.records import (
@@ -48,6 +48,10 @@
 _RESOLVE_EVERY: Seconds = 1.0
 
 
+def _unknown() -> None:
+    """Name no services."""
+
+
 class OwnerPorts(NamedTuple):
     """What an owner needs from outside."""
 
@@ -63,6 +67,8 @@
     stop_takes: Seconds
     status_kept: Seconds
     metrics: InstanceMetrics
+    #: Services that run the queues in force; None if that is not known yet.
+    services: Callable[[], Collection[ServiceName] | None] = _unknown
 
 
 class ShardOwner:
@@ -101,6 +107,7 @@
             ports.worker_view,
             ports.worker_calls,
             ports.decode_entry,
+            serves=self._serves,
             longest_lease=ports.longest_lease,
             doubt_until=doubted,
             may_renew=self._may_renew,
@@ -291,6 +298,14 @@
         await self.writer.flush()
         return job_key(job_id) in self.writer.view.value_by_key or None
 
+    def _serves(self, service: ServiceName) -> bool:
+        """Whether a queue in force, or that of an open job, is run by it."""
+        services = self._ports.services()
+        if services is None or service in services:
+            return True
+        jobs = self.state.job_by_id.values()
+        return any(job.queue.service == service for job in jobs)
+
     def _may_renew(self) -> bool:
         if self.writer.fenced.is_set():
             return False
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from orchidrail.journal import JournalView
 from orchidrail.journal.writer import take_over
@@ -23,18 +23,21 @@
     InstanceId,
     JobId,
     Seconds,
+    ServiceName,
     WorkerId,
 )
 from orchidrail.work.job import Task
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
 from orchidrail.work.records import TaskPhase, encode
 from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.entries import BadEntry, EntryFlaw
 from orchidrail.workers.port import (
     ActiveRun,
     HoldOrder,
     Listing,
     OrderAnswer,
     OrderResult,
+    RunEnding,
     RunKey,
     StartOrder,
     WorkerEntry,
@@ -47,10 +50,13 @@
 _READ = 0.5
 _DEAF = WorkerId('w-2')
 _JOB = JobId('0123456789abcdef')
+_BAD = b'bad'
 _decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
 
 
-def _decode(key: str, raw: bytes) -> Result[WorkerEntry, str]:
+def _decode(key: str, raw: bytes) -> Result[WorkerEntry, BadEntry]:
+    if raw == _BAD:
+        return Err(BadEntry(EntryFlaw.UNREADABLE, repr(raw)))
     return Ok(_decode_entry(raw))
 
 
@@ -427,3 +433,65 @@
             running.cancel()
 
         self.play(scene)
+
+    def test_a_worker_whose_entry_is_overwritten_runs_on(self) -> None:
+        """It gets no new work until its own entry is there again."""
+
+        async def scene(owner: ShardOwner) -> None:
+            task = await self._submit(owner)
+            books = owner.state.books_by_worker[WorkerId('w-1')]
+            await self.store.append(_TOPIC, [KeyedRecord('w-1', _BAD)])
+            await asyncio.sleep(_READ)
+            self.assertFalse(books.open(time.monotonic()))
+            worker = owner._ports.worker_calls
+            assert isinstance(worker, FakeWorker)
+            self.assertIsNotNone(worker.holds[-1].deadline)
+            worker.end(RunKey(task.key, task.run), RunEnding.DONE)
+            await asyncio.sleep(2 * _READ)
+            self.assertNotIn(_JOB, owner.state.job_by_id)
+            await self.list_worker(listed=True)
+            await asyncio.sleep(_READ)
+            self.assertTrue(books.open(time.monotonic()))
+
+        self.play(scene)
+
+    def test_entries_that_name_no_worker_are_told_once(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            for _ in range(3):
+                await self.store.append(_TOPIC, [KeyedRecord('x', _BAD)])
+                await self.store.append(_TOPIC, [KeyedRecord('y', _BAD)])
+                await asyncio.sleep(_READ)
+            counted = owner.state.metrics.bad_entries.labels('unreadable')
+            self.assertEqual(2, counted._value.get())
+            self.assertEqual(['w-1'], list(owner.state.books_by_worker))
+
+        self.play(scene)
+
+    def test_a_worker_of_a_service_without_queues_is_left_alone(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await self.list_worker(listed=False)
+            served: set[ServiceName] = set()
+            workers = FakeWorker()
+            self.store = MemoryStore()
+            await self.list_worker(listed=True)
+            view = JournalView(self.store, Topic('journal'))
+            writer = await take_over(view, _ME, time.monotonic, Epoch(0))
+            ports = make_ports(self.store)._replace(
+                decode_entry=_decode,
+                worker_calls=workers,
+                services=lambda: served,
+            )
+            other = ShardOwner(writer, ports)
+            running = asyncio.create_task(other.run())
+            await asyncio.sleep(_READ)
+            self.assertEqual([], list(other.state.books_by_worker))
+            self.assertEqual([], workers.holds)
+            served.add(make_entry().service)
+            later = msgspec.structs.replace(make_entry(), leaves_in=1)
+            raw = encode(later)
+            await self.store.append(_TOPIC, [KeyedRecord('w-1', raw)])
+            await asyncio.sleep(_READ)
+            self.assertEqual(['w-1'], list(other.state.books_by_worker))
+            running.cancel()
+
+        self.play(scene)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,19 @@
 #: Seconds until a worker crashes again: before it is looked at again, between
 #: two looks, and once it is at work.
 _CRASH_AGAIN = (0.01, 0.3, 1.5)
+#: Share of the entries by another writer that replace a worker's.
+_OVERWRITES = 0.3
+_FOREIGN = (
+    b'\xff\xfe',
+    b'[]',
+    b'{"service":"service"}',
+    b'{"service":"service","address":"127.0.0.1:1","zone":"zone-0",'
+    b'"state":"resting","capacity":{"cpu":64000,"memMb":64000},"labels":[]}',
+    b'{"service":"service","address":"","zone":"zone-0","state":"ready",'
+    b'"capacity":{"cpu":64000,"memMb":64000},"labels":[]}',
+    b'{"service":"other","address":"127.0.0.1:1","zone":"zone-0",'
+    b'"state":"ready","capacity":{"cpu":64000,"memMb":64000},"labels":[]}',
+)
 _HARMS = (Harm.DELAY, Harm.RESET, Harm.SILENCE, Harm.MUTE_ANSWERS)
 
 
@@ -76,6 +89,20 @@
             self.count['shrink_room'] += 1
             await random.choice(self._workers).shrink(random.uniform(0, 4))
 
+    async def write_entries(self, until: float, random: Random | None) -> None:
+        """Write entries as somebody else would, some over those of workers."""
+        while random is not None and time.monotonic() < until:
+            await asyncio.sleep(random.uniform(0, 3))
+            self.count['foreign_entry'] += 1
+            worker = random.choice(self._workers)
+            raw = random.choice(_FOREIGN)
+            if random.random() < _OVERWRITES:
+                worker.overwrite_entry(raw)
+                await asyncio.sleep(random.uniform(0, 3))
+                worker.enter('ready')
+            else:
+                worker.overwrite_entry(raw, f'x-{random.randint(1, 9)}')
+
     def _some_time(self, most: float = 5) -> float:
         return self._random.uniform(0.3, most)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -74,8 +74,8 @@
     folder : pathlib.Path
         For settings files and logs.
     crashing : bool
-        Whether some jobs crash workers, rooms shrink, and workers keep their
-        names when they start again.
+        Whether some jobs crash workers, rooms shrink, workers keep their
+        names when they start again, and others write entries.
     """
 
     def __init__(
@@ -89,6 +89,7 @@
         """Prepare; nothing is started yet."""
         self._crashing = Random(f'crashing {seed}') if crashing else None
         self._returns = Random(f'returns {seed}') if crashing else None
+        self._foreign = Random(f'foreign {seed}') if crashing else None
         self.ledger = Ledger()
         self._network = f'127.{slot}'
         self._random = Random(seed)
@@ -150,6 +151,7 @@
                 callers.run(until + 2, per_second),
                 faults.run(until),
                 faults.shrink_rooms(until, self._crashing),
+                faults.write_entries(until, self._foreign),
             )
             await callers.settle(_SETTLE)
             self.ledger.judge_end()
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -103,6 +103,10 @@
         raw = json.dumps(entry).encode()
         self._store.put('keyed.servers', self.name, raw)
 
+    def overwrite_entry(self, raw: bytes, name: str = '') -> None:
+        """Have somebody else write an entry, over this worker's or beside."""
+        self._store.put('keyed.servers', name or self.name, raw)
+
     def crash(self, *, keeps_name: bool = False) -> None:
         """Lose everything and be back at once; an old entry lapses later."""
         for key, run in list(self._run_by_key.items()):
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -32,6 +32,7 @@
 )
 from orchidrail.work.job import Job
 from orchidrail.work.model import MemberInfo, Size
+from orchidrail.workers.entries import BadEntry
 from orchidrail.workers.port import WorkerEntry
 from standins.model.judging import (
     EndedJob,
@@ -64,7 +65,7 @@
 _decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
 
 
-def _decode(key: str, raw: bytes) -> Result[WorkerEntry, str]:
+def _decode(key: str, raw: bytes) -> Result[WorkerEntry, BadEntry]:
     return Ok(_decode_entry(raw))
 
 
