--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -185,6 +185,9 @@
         Seconds of traffic.
     append_takes : float
         Seconds that an append to the journal takes.
+    late_share : float
+        Share of the orders that get no answer and are carried out seconds
+        later, by whichever life then has the worker's name.
     """
 
     queues: list[QueueLoad]
@@ -203,6 +206,7 @@
     crashes: list[Crashes] = []
     shrinkages: list[Shrinkage] = []
     append_takes: Seconds = 0
+    late_share: float = 0
 
 
 class DrawnJob(NamedTuple):
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -8,6 +8,7 @@
 import zlib
 from collections import Counter, defaultdict
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import msgspec
@@ -16,6 +17,7 @@
 from orchidrail.types import (
     Address,
     Epoch,
+    RunNumber,
     Seconds,
     TaskKey,
     WorkerId,
@@ -48,6 +50,8 @@
 #: Start of the steady clocks of the workers' first lives.
 _CLOCK_BEGINS: Seconds = 1000
 _MILLIS = 1000
+#: When orders are carried out that get no answer, as the users' site has it.
+_LATE_BY: tuple[Seconds, Seconds] = (2, 12)
 #: The time of day by which a life tells its start may be off by this much, so
 #: a later life may name an earlier start.
 _BORN_OFF: Seconds = 5.0
@@ -92,6 +96,9 @@
         self.acknowledged: set[RunKey] = set()
         self._clock_offset = clock_offset
         self._number = 0
+        self._fence = Epoch(0)
+        #: Runs of each task up to which starts are rejected.
+        self._newest_over: dict[TaskKey, RunNumber] = {}
 
     def crash(self) -> list[RunKey]:
         """End this life; return what ran."""
@@ -111,10 +118,29 @@
             return
         if run.timer is not None:
             run.timer.cancel()
+        self.reject(key)
         self._number += 1
         self.ended.append(EndedRun(self._number, key, ending, ''))
         self.changed.set()
 
+    def heeds(self, epoch: Epoch) -> bool:
+        """Tell whether nobody newer has ordered; remember who orders now."""
+        self._fence = max(self._fence, epoch)
+        return epoch == self._fence
+
+    def reject(self, key: RunKey) -> None:
+        """Start no run of a task up to this one any more."""
+        newest = self._newest_over.get(key.task, RunNumber(0))
+        self._newest_over[key.task] = max(newest, key.run)
+
+    def refusal(self, order: StartOrder, now: Seconds) -> OrderResult | None:
+        """Return why a start is not carried out, None if it is."""
+        if order.deadline < self.clock(now):
+            return OrderResult.LATE
+        if order.key.run <= self._newest_over.get(order.key.task, 0):
+            return OrderResult.OLD_RUN
+        return None
+
     def forget(self, last_seen: int) -> None:
         """Forget the ends up to `last_seen`, which were acknowledged."""
         self.acknowledged.update(
@@ -178,6 +204,7 @@
         self.lost_beside = 0
         self._restart = load.restart
         self._keeps_names = load.keeps_names
+        self._late_share = load.late_share
         self._lives = 0
         self._current_by_address: dict[Address, ModelWorker] = {}
         self._where_by_task: dict[TaskKey, WorkerId] = {}
@@ -340,8 +367,46 @@
             return worker
         if worker.entry.born != entry.born:
             return OrderAnswer(OrderResult.OTHER_LIFE)
-        now = asyncio.get_running_loop().time()
+        if self._is_late(partial(self._start_late, entry, order)):
+            await asyncio.sleep(timeout)
+            return OrderAnswer(OrderResult.UNKNOWN)
+        answer = self._carry_out(worker, order)
+        await asyncio.sleep(_TRAVELS)
+        return answer
+
+    def _is_late(self, carry_out: Callable[[], object]) -> bool:
+        """Draw whether an order is carried out later, and unanswered."""
+        if not self._late_share or self._random.random() >= self._late_share:
+            return False
+        after = self._random.uniform(*_LATE_BY)
+        asyncio.get_running_loop().call_later(after, carry_out)
+        return True
+
+    def _start_late(self, entry: WorkerEntry, order: StartOrder) -> None:
+        worker = self._current_by_address[entry.address]
+        if not worker.over and worker.entry.name == entry.name:
+            self._carry_out(worker, order)
+
+    def _acknowledge_late(self, entry: WorkerEntry, order: HoldOrder) -> None:
+        worker = self._current_by_address[entry.address]
+        same_name = worker.entry.name == entry.name
+        if same_name and not worker.over and worker.heeds(order.epoch):
+            worker.forget(order.last_seen)
+
+    def _carry_out(
+        self,
+        worker: ModelWorker,
+        order: StartOrder,
+    ) -> OrderAnswer:
+        now = _now()
         clock = worker.clock(now)
+        if not worker.heeds(order.epoch):
+            return OrderAnswer(OrderResult.FENCED, clock)
+        if order.key in worker.run_by_key:
+            return OrderAnswer(OrderResult.TAKEN, clock)
+        refusal = worker.refusal(order, now)
+        if refusal is not None:
+            return OrderAnswer(refusal, clock)
         job, step, index = self._drawn(order.key)
         if job.queue.advice and not _ticket_holds(order.ticket, now):
             self.refused_tickets += 1
@@ -368,7 +433,6 @@
                 worker,
                 order.key,
             )
-        await asyncio.sleep(_TRAVELS)
         return OrderAnswer(OrderResult.TAKEN, clock)
 
     async def stop(
@@ -382,9 +446,11 @@
         worker = await self._reach(entry, timeout)
         if isinstance(worker, OrderAnswer):
             return worker
+        if not worker.heeds(epoch):
+            return OrderAnswer(OrderResult.FENCED)
         self._end(worker, key, RunEnding.STOPPED)
-        now = asyncio.get_running_loop().time()
-        return OrderAnswer(OrderResult.TAKEN, worker.clock(now))
+        worker.reject(key)
+        return OrderAnswer(OrderResult.TAKEN, worker.clock(_now()))
 
     async def hold(
         self,
@@ -397,6 +463,11 @@
         worker = await self._reach(entry, timeout)
         if isinstance(worker, OrderAnswer):
             return worker
+        if self._is_late(partial(self._acknowledge_late, entry, order)):
+            await asyncio.sleep(timeout)
+            return OrderAnswer(OrderResult.UNKNOWN)
+        if not worker.heeds(order.epoch):
+            return OrderAnswer(OrderResult.FENCED)
         worker.forget(order.last_seen)
         if order.wait and not worker.ended:
             worker.changed.clear()
--- a/standins/tests/test_returning_workers.py
+++ b/standins/tests/test_returning_workers.py
@@ -41,3 +41,15 @@
         self.assertGreater(outcome.crashes.crashing, 0)
         self.assertEqual(0, outcome.crashes.over_budget)
         self.assertEqual((0, 0), (outcome.repeated, outcome.doubled))
+
+    def test_what_the_next_life_carries_out_late_doubles_nothing(self) -> None:
+        """Orders without an answer, made for the life before.
+
+        A start is carried out by the next life while the task runs elsewhere;
+        an acknowledgement makes it forget ends that nobody has heard of.
+        """
+        load = read_load(str(_DAYS / 'returning_late.toml'))
+        for seed in (1, 2, 3):
+            outcome = CellModel(load, seed).play()
+            broken = outcome.repeated, outcome.doubled, outcome.overfull
+            self.assertEqual((0, 0, 0), broken)
