--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -281,6 +281,7 @@
     if result is not OrderResult.OTHER_LIFE or not answer.body:
         return OrderAnswer(result)
     other = _read(_decode_order, answer.body)
+    # Its clock is not that of the life that was asked.
     return OrderAnswer(result, born=other.born if other else None)
 
 
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -188,6 +188,8 @@
             self._raw_by_name.pop(name)
             self._over_by_name.pop(name, None)
             self._flaw_by_name.pop(name, None)
+            if name not in self._worker_by_name:
+                self._written_at_by_name.pop(name, None)
 
     def _look_up(
         self,
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -257,7 +257,7 @@
             self.heard_at = self._clock()
             self.lease.observe(answer.clock, self.heard_at)
         if answer.result is OrderResult.OTHER_LIFE:
-            self.end_life(answer.born)
+            self._note_other_life(answer.born, answer.clock)
         elif answer.result is OrderResult.FENCED:
             self._observer.on_fenced(self)
 
@@ -288,8 +288,7 @@
 
     async def _take_listing(self, listing: Listing, sent_at: Seconds) -> None:
         if not self.is_life_of(listing.born):
-            self._tell_other_life(listing)
-            self.end_life(listing.born)
+            self._note_other_life(listing.born, listing.clock)
             return
         first = not self.lease.known
         self.heard_at = self._clock()
@@ -315,16 +314,21 @@
         if await _all_written(writes):
             self._last_seen = max(self._last_seen, *numbers)
 
-    def _tell_other_life(self, listing: Listing) -> None:
-        _log.info(
-            'worker has started again',
-            worker=self.worker,
-            born=listing.born,
-            clock=round(listing.clock, 3),
-            expected_clock=self._expected_clock(),
-            ends=[ended.number for ended in listing.ended],
-            acknowledged=self._last_seen,
-        )
+    def _note_other_life(
+        self,
+        born: int | None,
+        clock: Seconds | None,
+    ) -> None:
+        if not self.over:
+            _log.info(
+                'worker has started again',
+                worker=self.worker,
+                born=born,
+                clock=clock,
+                expected_clock=self._expected_clock(),
+                acknowledged=self._last_seen,
+            )
+        self.end_life(born)
 
     def _expected_clock(self) -> Seconds | None:
         if not self.lease.known:
