--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 import zlib
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -17,16 +16,13 @@
 from orchidrail.types import (
     Address,
     Epoch,
-    RunNumber,
     Seconds,
     TaskKey,
     WorkerId,
     WorkerName,
 )
 from orchidrail.workers.port import (
-    ActiveRun,
     Advice,
-    EndedRun,
     HoldOrder,
     Listing,
     OrderAnswer,
@@ -43,14 +39,11 @@
     DrawnJob,
     Shrinkage,
 )
+from standins.model.worker import ModelRun, ModelWorker
 
 #: One way over the network.
 _TRAVELS: Seconds = 0.001
-_WHOLE = 100
-#: Start of the steady clocks of the workers' first lives.
-_CLOCK_BEGINS: Seconds = 1000
 _MILLIS = 1000
-_LONGEST_LEASE: Seconds = 6.0
 #: When orders are carried out that get no answer, as the users' site has it.
 _LATE_BY: tuple[Seconds, Seconds] = (2, 12)
 #: The time of day by which a life tells its start may be off by this much, so
@@ -66,126 +59,6 @@
 _CRASHES_ALLOWED = 3
 
 
-class _Run:
-    def __init__(self, key: RunKey, began: Seconds, takes: Seconds) -> None:
-        self.key = key
-        self.began = began
-        self.takes = takes
-        self.timer: asyncio.TimerHandle | None = None
-
-
-class ModelWorker:
-    """One worker."""
-
-    def __init__(
-        self,
-        entry: WorkerEntry,
-        slowness: float,
-        clock_offset: Seconds = _CLOCK_BEGINS,
-    ) -> None:
-        """Start idle; its clock shows `clock_offset` more than the loop's."""
-        self.entry = entry
-        self.slowness = slowness
-        self.silent_until: Seconds = 0
-        self.run_by_key: dict[RunKey, _Run] = {}
-        self.ended: list[EndedRun] = []
-        self.changed = asyncio.Event()
-        self.over = False
-        #: Since when it has the room that its entry names.
-        self.room_since: Seconds = -math.inf
-        #: Runs whose end as done was acknowledged here.
-        self.acknowledged: set[RunKey] = set()
-        self._clock_offset = clock_offset
-        self._leased_until: Seconds = -math.inf
-        self._unheard: set[RunKey] = set()
-        self._number = 0
-        self._fence = Epoch(0)
-        #: Runs of each task up to which starts are rejected.
-        self._newest_over: dict[TaskKey, RunNumber] = {}
-
-    def crash(self) -> list[RunKey]:
-        """End this life; return what ran."""
-        self.over = True
-        for run in self.run_by_key.values():
-            if run.timer is not None:
-                run.timer.cancel()
-        lost = list(self.run_by_key)
-        self.run_by_key.clear()
-        self.changed.set()
-        return lost
-
-    def end(self, key: RunKey, ending: RunEnding) -> None:
-        """End a run and list its end."""
-        run = self.run_by_key.pop(key, None)
-        if run is None:
-            return
-        if run.timer is not None:
-            run.timer.cancel()
-        self.reject(key)
-        self._number += 1
-        self.ended.append(EndedRun(self._number, key, ending, ''))
-        self.changed.set()
-
-    def renew(self, deadline: Seconds | None, now: Seconds) -> None:
-        """Renew the lease; ends that nobody heard before it lapsed are owed.
-
-        Their tasks may be started again, also if the ends are heard later.
-        """
-        clock = self.clock(now)
-        if self._leased_until < clock:
-            self._unheard.update(end.key for end in self.ended)
-        if deadline is not None:
-            until = min(deadline, clock + _LONGEST_LEASE)
-            self._leased_until = max(self._leased_until, until)
-
-    def heeds(self, epoch: Epoch) -> bool:
-        """Tell whether nobody newer has ordered; remember who orders now."""
-        self._fence = max(self._fence, epoch)
-        return epoch == self._fence
-
-    @property
-    def met(self) -> bool:
-        """Whether any order has reached this life."""
-        return self._fence > 0
-
-    def reject(self, key: RunKey) -> None:
-        """Start no run of a task up to this one any more."""
-        newest = self._newest_over.get(key.task, RunNumber(0))
-        self._newest_over[key.task] = max(newest, key.run)
-
-    def refusal(self, order: StartOrder, now: Seconds) -> OrderResult | None:
-        """Return why a start is not carried out, None if it is."""
-        if order.deadline < self.clock(now):
-            return OrderResult.LATE
-        if order.key.run <= self._newest_over.get(order.key.task, 0):
-            return OrderResult.OLD_RUN
-        return None
-
-    def forget(self, last_seen: int) -> None:
-        """Forget the ends up to `last_seen`, which were acknowledged."""
-        self.acknowledged.update(
-            end.key
-            for end in self.ended
-            if end.number <= last_seen
-            and end.ending is RunEnding.DONE
-            and end.key not in self._unheard
-        )
-        self.ended = [end for end in self.ended if end.number > last_seen]
-
-    def listing(self, now: Seconds) -> Listing:
-        """Return what runs and the ends that were not forgotten."""
-        active = [
-            ActiveRun(run.key, '', _WHOLE * (now - run.began) / run.takes)
-            for run in self.run_by_key.values()
-        ]
-        clock = self.clock(now)
-        return Listing(clock, active, list(self.ended), self.entry.born)
-
-    def clock(self, now: Seconds) -> Seconds:
-        """Return what its steady clock shows."""
-        return self._clock_offset + now
-
-
 class ModelWorkers:
     """All workers of a cell; fits `WorkerCalls`, and gives advice.
 
@@ -452,7 +325,7 @@
         if self._random.random() < job.queue.fails:
             ending = RunEnding.FAILED
             takes *= self._random.random()
-        run = _Run(order.key, now, takes)
+        run = ModelRun(order.key, now, takes)
         worker.run_by_key[order.key] = run
         run.timer = asyncio.get_running_loop().call_later(
             takes,
