--- /dev/null
+++ b/orchidrail/shard/tests/fleet_case.py
@@ -0,0 +1,105 @@
+"""Scenes around an owner and the entries of its workers, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from result import Err, Ok, Result
+
+from orchidrail.journal import JournalView
+from orchidrail.journal.writer import take_over
+from orchidrail.shard.owner import ShardOwner
+from orchidrail.shard.tests.test_owner import make_ports
+from orchidrail.store import KeyedRecord, Topic
+from orchidrail.store.memory import MemoryStore
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import (
+    Address,
+    Epoch,
+    InstanceId,
+    JobId,
+    WorkerId,
+)
+from orchidrail.work.job import Task
+from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
+from orchidrail.work.records import encode
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.entries import BadEntry, EntryFlaw
+from orchidrail.workers.port import (
+    WorkerEntry,
+)
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+
+ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
+WORKERS = Topic('workers')
+READ = 0.5
+JOB = JobId('0123456789abcdef')
+BAD_ENTRY = b'bad'
+_decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
+
+
+def decode(key: str, raw: bytes) -> Result[WorkerEntry, BadEntry]:
+    if raw == BAD_ENTRY:
+        return Err(BadEntry(EntryFlaw.UNREADABLE, repr(raw)))
+    return Ok(_decode_entry(raw))
+
+
+class FleetTestCase(AsyncTestCase):
+    """Plays scenes beside a first owner, which has one worker."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = MemoryStore()
+
+    async def list_worker(self, listed: bool, name: str = 'w-1') -> None:
+        entry = make_entry(name)
+        value = encode(entry) if listed else b''
+        await self.store.append(WORKERS, [KeyedRecord(entry.worker, value)])
+
+    async def take(
+        self,
+        epoch: int,
+        workers: FakeWorker | None = None,
+    ) -> ShardOwner:
+        view = JournalView(self.store, Topic('journal'))
+        writer = await take_over(view, ME, time.monotonic, Epoch(epoch))
+        ports = make_ports(self.store)._replace(
+            decode_entry=decode,
+            worker_calls=workers or FakeWorker(),
+        )
+        return ShardOwner(writer, ports)
+
+    def play(self, scene: Callable[[ShardOwner], Awaitable[None]]) -> None:
+        """Run a scene beside the first owner, which has one worker."""
+
+        async def run() -> None:
+            await self.list_worker(listed=True)
+            owner = await self.take(0)
+            running = asyncio.create_task(owner.run())
+            await asyncio.sleep(READ)
+            try:
+                await scene(owner)
+            finally:
+                running.cancel()
+
+        self.run_async(run())
+
+    async def list_life(self, born: int | None) -> None:
+        """Write the entry of a life of the one worker."""
+        entry = msgspec.structs.replace(make_entry(), born=born)
+        await self.store.append(
+            WORKERS, [KeyedRecord(entry.name, encode(entry))]
+        )
+        await asyncio.sleep(READ)
+
+    async def submit(self, owner: ShardOwner) -> Task:
+        spec = JobSpec('text', (StepSpec(1),))
+        queue = make_job(StepSpec(1)).queue
+        self.assertTrue(await owner.submit(JOB, queue, spec))
+        await asyncio.sleep(READ)
+        task = owner.state.job_by_id[JOB].find_task(0, 0, 0)
+        assert task is not None
+        return task
--- /dev/null
+++ b/orchidrail/shard/tests/test_foreign_entries.py
@@ -0,0 +1,99 @@
+"""Tests of entries that somebody else wrote: they name no worker."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from orchidrail.journal import JournalView
+from orchidrail.journal.writer import take_over
+from orchidrail.shard.owner import ShardOwner
+from orchidrail.shard.tests.fleet_case import (
+    BAD_ENTRY,
+    JOB,
+    ME,
+    READ,
+    WORKERS,
+    FleetTestCase,
+    decode,
+)
+from orchidrail.shard.tests.test_owner import make_ports
+from orchidrail.store import KeyedRecord, Topic
+from orchidrail.store.memory import MemoryStore
+from orchidrail.types import (
+    Epoch,
+    ServiceName,
+    WorkerId,
+)
+from orchidrail.work.records import encode
+from orchidrail.workers.port import (
+    RunEnding,
+    RunKey,
+)
+from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+
+
+class ForeignEntryTest(FleetTestCase):
+    def test_a_worker_whose_entry_is_overwritten_runs_on(self) -> None:
+        """It gets no new work until its own entry is there again."""
+
+        async def scene(owner: ShardOwner) -> None:
+            task = await self.submit(owner)
+            books = owner.state.books_by_worker[WorkerId('w-1')]
+            await self.store.append(WORKERS, [KeyedRecord('w-1', BAD_ENTRY)])
+            await asyncio.sleep(READ)
+            self.assertFalse(books.open(time.monotonic()))
+            worker = owner._ports.worker_calls
+            assert isinstance(worker, FakeWorker)
+            self.assertIsNotNone(worker.holds[-1].deadline)
+            worker.end(RunKey(task.key, task.run), RunEnding.DONE)
+            await asyncio.sleep(2 * READ)
+            self.assertNotIn(JOB, owner.state.job_by_id)
+            await self.list_worker(listed=True)
+            await asyncio.sleep(READ)
+            self.assertTrue(books.open(time.monotonic()))
+
+        self.play(scene)
+
+    def test_entries_that_name_no_worker_are_told_once(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            for _ in range(3):
+                await self.store.append(WORKERS, [KeyedRecord('x', BAD_ENTRY)])
+                await self.store.append(WORKERS, [KeyedRecord('y', BAD_ENTRY)])
+                await asyncio.sleep(READ)
+            counted = owner.state.metrics.bad_entries.labels('unreadable')
+            self.assertEqual(2, counted._value.get())
+            self.assertEqual(['w-1'], list(owner.state.books_by_worker))
+
+        self.play(scene)
+
+    def test_a_worker_of_a_service_without_queues_is_left_alone(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await self.list_worker(listed=False)
+            served: set[ServiceName] = set()
+            workers = FakeWorker()
+            self.store = MemoryStore()
+            await self.list_worker(listed=True)
+            view = JournalView(self.store, Topic('journal'))
+            writer = await take_over(view, ME, time.monotonic, Epoch(0))
+            ports = make_ports(self.store)._replace(
+                decode_entry=decode,
+                worker_calls=workers,
+                services=lambda: served,
+            )
+            other = ShardOwner(writer, ports)
+            running = asyncio.create_task(other.run())
+            await asyncio.sleep(READ)
+            self.assertEqual([], list(other.state.books_by_worker))
+            self.assertEqual([], workers.holds)
+            served.add(make_entry().service)
+            later = msgspec.structs.replace(make_entry(), leaves_in=1)
+            raw = encode(later)
+            await self.store.append(WORKERS, [KeyedRecord('w-1', raw)])
+            await asyncio.sleep(READ)
+            self.assertEqual(['w-1'], list(other.state.books_by_worker))
+            running.cancel()
+
+        self.play(scene)
--- /dev/null
+++ b/orchidrail/shard/tests/test_next_lives.py
@@ -0,0 +1,159 @@
+"""Tests of workers that start again under the names that they had."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from orchidrail.shard.owner import ShardOwner
+from orchidrail.shard.tests.fleet_case import (
+    JOB,
+    READ,
+    FleetTestCase,
+)
+from orchidrail.types import (
+    WorkerId,
+)
+from orchidrail.work.model import JobSpec, StepSpec
+from orchidrail.work.records import TaskPhase
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.port import (
+    ActiveRun,
+    OrderResult,
+    RunKey,
+)
+from orchidrail.workers.tests.fakes import FakeWorker
+
+
+class NextLifeTest(FleetTestCase):
+    def test_an_entry_of_the_next_life_ends_the_one_before(self) -> None:
+        """It may be read before the worker is met again."""
+
+        async def scene(owner: ShardOwner) -> None:
+            await self.list_life(1000)
+            worker = owner._ports.worker_calls
+            assert isinstance(worker, FakeWorker)
+            task = await self.submit(owner)
+            worker.active.clear()
+            worker.born = 900
+            await self.list_life(900)
+            await asyncio.sleep(READ)
+            self.assertEqual(['w-1@900'], list(owner.state.books_by_worker))
+            self.assertEqual(('w-1@900', 2), (task.worker, task.run))
+            self.assertEqual(1, task.crashes)
+
+        self.play(scene)
+
+    def test_a_life_that_is_over_is_not_met_again(self) -> None:
+        """Its last heartbeat may be read after the next life has answered."""
+
+        async def scene(owner: ShardOwner) -> None:
+            worker = owner._ports.worker_calls
+            assert isinstance(worker, FakeWorker)
+            worker.born = 1000
+            await self.list_life(1000)
+            await asyncio.sleep(READ)
+            worker.born = 2000
+            await asyncio.sleep(2 * READ)
+            books = owner.state.books_by_worker
+            self.assertEqual(['w-1@2000'], list(books))
+            await self.list_life(1000)
+            self.assertEqual(['w-1@2000'], list(books))
+            met = books[WorkerId('w-1@2000')]
+            self.assertTrue(met.session.reachable)
+            self.assertFalse(met.open(time.monotonic()))
+            await self.list_life(2000)
+            self.assertEqual([met], list(books.values()))
+            self.assertTrue(met.open(time.monotonic()))
+
+        self.play(scene)
+
+    def test_a_next_owner_meets_the_next_life(self) -> None:
+        """What ran in the life before is started again at once, and counted."""
+
+        async def scene(owner: ShardOwner) -> None:
+            await self.list_life(1000)
+            await self.submit(owner)
+            owner.resign()
+            await self.list_life(2000)
+            workers = FakeWorker()
+            workers.born = 2000
+            following = await self.take(1, workers)
+            running = asyncio.create_task(following.run())
+            await asyncio.sleep(READ)
+            task = following.state.job_by_id[JOB].find_task(0, 0, 0)
+            assert task is not None
+            self.assertEqual(('w-1@2000', 2), (task.worker, task.run))
+            self.assertEqual(1, task.crashes)
+            running.cancel()
+
+        self.play(scene)
+
+    def test_a_journal_that_names_no_lives_is_read(self) -> None:
+        """An older version placed a run on a worker that runs it still."""
+
+        async def scene(owner: ShardOwner) -> None:
+            task = await self.submit(owner)
+            self.assertEqual('w-1', task.worker)
+            owner.resign()
+            await self.list_life(1000)
+            workers = FakeWorker()
+            workers.born = 1000
+            key = RunKey(task.key, task.run)
+            workers.active[key] = ActiveRun(key, '', 50)
+            following = await self.take(1, workers)
+            running = asyncio.create_task(following.run())
+            await asyncio.sleep(READ)
+            kept = following.state.job_by_id[JOB].find_task(0, 0, 0)
+            assert kept is not None
+            self.assertEqual((TaskPhase.PLACED, 1), (kept.phase, kept.run))
+            self.assertEqual([], workers.starts)
+            self.assertEqual(1, len(following.state.books_by_worker))
+            running.cancel()
+
+        self.play(scene)
+
+    def test_the_next_life_is_met_with_a_higher_fencing_token(self) -> None:
+        """Above all of this owner's before; the next owner's is above it."""
+
+        async def scene(owner: ShardOwner) -> None:
+            worker = owner._ports.worker_calls
+            assert isinstance(worker, FakeWorker)
+            worker.born = 1000
+            await self.list_life(1000)
+            epochs = [worker.holds[-1].epoch]
+            for born in (2000, 1500):
+                worker.born = born
+                await asyncio.sleep(2 * READ)
+                epochs.append(worker.holds[-1].epoch)
+            self.assertEqual([1, 2, 3], [one - epochs[0] + 1 for one in epochs])
+            following = await self.take(1)
+            self.assertGreater(following.writer.owner.epoch, epochs[-1])
+
+        self.play(scene)
+
+    def test_a_start_in_doubt_waits_for_the_next_life(self) -> None:
+        """It may be carried out there; then it is what runs."""
+
+        async def scene(owner: ShardOwner) -> None:
+            worker = owner._ports.worker_calls
+            assert isinstance(worker, FakeWorker)
+            worker.born = 1000
+            await self.list_life(1000)
+            worker.start_result = OrderResult.UNKNOWN
+            spec = JobSpec('text', (StepSpec(1),))
+            queue = make_job(StepSpec(1)).queue
+            self.assertTrue(await owner.submit(JOB, queue, spec))
+            task = owner.state.job_by_id[JOB].find_task(0, 0, 0)
+            assert task is not None
+            while not worker.starts:
+                await asyncio.sleep(0.01)
+            key = worker.starts[0].key
+            worker.born = 2000
+            worker.active[key] = ActiveRun(key, '', 10)
+            await asyncio.sleep(2 * READ)
+            self.assertEqual(1, len(worker.starts))
+            placed = (TaskPhase.PLACED, 1, 'w-1@2000')
+            self.assertEqual(placed, (task.phase, task.run, task.worker))
+
+        self.play(scene)
