--- a/orchidrail/shard/tests/fleet_case.py
+++ b/orchidrail/shard/tests/fleet_case.py
@@ -21,7 +21,6 @@
     Epoch,
     InstanceId,
     JobId,
-    WorkerId,
 )
 from orchidrail.work.job import Task
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
