--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -203,6 +203,14 @@
         """Give the worker no new work for a while."""
         self.rests_until = max(self.rests_until, now + seconds)
 
+    def has(self, run: PlacedRun) -> bool:
+        """Whether just this run takes room here.
+
+        Another job's may have the same key: one that was withdrawn, and is
+        handed in again under its id, counts its runs from 1 again.
+        """
+        return self.run_by_key.get(run.key) is run
+
     def charge(self, run: PlacedRun, step_key: str) -> None:
         """Take room for a run; one that is known already is left alone."""
         if run.key in self.run_by_key:
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -102,6 +102,9 @@
         if task.phase is not TaskPhase.PLACED or task.run != number:
             return
         job = task.step.job
+        if self._state.job_by_id.get(job.job_id) is not job:
+            # It is over; its id may be that of another job by now.
+            return
         job.end_run(task, task.run, RunEnding.LAPSED, '')
         self._touched_by_id[job.job_id] = job
         self._break_gang(task)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -96,12 +96,12 @@
         if not step.job.begun:
             self._note_wait(step.job)
         run = step.next_run([placement.task for placement in chosen])
-        keys = [self._place(placement, run) for placement in chosen]
+        placed = [self._place(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
         self._state.changed_jobs.add(step.job.job_id)
-        for key, placement in zip(keys, chosen, strict=True):
-            doubt = partial(self._doubt_start, key, placement.books)
-            self._tasks.spawn(self._start(commit, key, placement), doubt)
+        for one, placement in zip(placed, chosen, strict=True):
+            doubt = partial(self._doubt_start, one, placement.books)
+            self._tasks.spawn(self._start(commit, one, placement), doubt)
         _log.info(
             'placed',
             job=step.job.job_id,
@@ -281,7 +281,7 @@
                 jobs=[job.job_id for job in touched],
             )
 
-    def _place(self, placement: Placement, gang_run: RunNumber) -> RunKey:
+    def _place(self, placement: Placement, gang_run: RunNumber) -> PlacedRun:
         """Take the room for a run and note it in its job."""
         task, books = placement
         step = task.step
@@ -297,7 +297,7 @@
             trial=task.suspected,
         )
         books.charge(placed, step.key)
-        return key
+        return placed
 
     def _look_after_trial(self, books: WorkerBooks) -> None:
         """Look as soon as a listing can end a trial, to free its worker."""
@@ -306,24 +306,22 @@
             books.session.look_soon,
         )
 
-    def _doubt_start(self, key: RunKey, books: WorkerBooks) -> None:
+    def _doubt_start(self, run: PlacedRun, books: WorkerBooks) -> None:
         """Take a start whose task failed for one without an answer."""
-        run = books.run_by_key.get(key)
-        if run is not None and run.start_deadline == math.inf:
+        if run.start_deadline == math.inf:
             now = self._state.clock()
             run.start_deadline = books.session.lease.clock_at(now) + START_LIFE
 
     async def _start(
         self,
         commit: Commit,
-        key: RunKey,
+        run: PlacedRun,
         placement: Placement,
     ) -> None:
         task, books = placement
         ticket = task.step.permits.ticket_by_worker.get(books.worker, '')
-        run = books.run_by_key.get(key)
         job = task.step.job
-        if run is None or not await commit.wait():
+        if not await commit.wait() or not books.has(run):
             return
         if run.stopping or job.ended or books.overfull:
             # The worker's room may have shrunk since the run was placed.
@@ -331,7 +329,7 @@
             return
         run.ordered = True
         answer, deadline = await books.session.start(
-            key,
+            run.key,
             job.spec.text,
             task.step.checkpoint_for(task),
             ticket,
@@ -350,8 +348,8 @@
             return
         _log.info(
             'start not confirmed',
-            task=key.task,
-            run=key.run,
+            task=run.key.task,
+            run=run.key.run,
             worker=books.worker,
             result=answer.result.value,
         )
@@ -366,7 +364,7 @@
         run: PlacedRun,
         result: OrderResult,
     ) -> None:
-        if run.key not in books.run_by_key or run.task is None:
+        if not books.has(run) or run.task is None:
             return
         if result is OrderResult.NO_TICKET:
             run.task.step.permits.expire(books.worker)
@@ -375,7 +373,7 @@
 
     async def _stop(self, books: WorkerBooks, run: PlacedRun) -> None:
         for _ in range(_STOP_TRIES):
-            if run.key not in books.run_by_key or books.session.over:
+            if not books.has(run) or books.session.over:
                 return
             answer = await books.session.stop(run.key)
             if answer.result is OrderResult.TAKEN:
--- a/orchidrail/shard/tests/test_submitted_again.py
+++ b/orchidrail/shard/tests/test_submitted_again.py
@@ -1,13 +1,13 @@
 """A job that was withdrawn, and is handed in again under its id.
 
 Seen: a job that its caller was told is accepted was shown as cancelled from the
-same moment on, though nobody had cancelled it. How it came about: the journal was
-silent, so its first submission was withdrawn and refused; the caller came back as
-the journal did. Cause: the first submission's start, which had waited for the
-journal too, found a run of its own name on its worker, that of the second, took
-it for its own, and wrote the end of the withdrawn job under the id that both have.
-What proved it: the owner's lines name two placements of run 1, and `job over` as
-cancelled with the age of the first; this scene repeats it.
+same moment on, though nobody had cancelled it. How it came about: the journal
+was silent, so its first submission was withdrawn and refused; the caller came
+back as the journal did. Cause: the first submission's start, which had waited
+for the journal too, found a run of its own name on its worker, that of the
+second, took it for its own, and wrote the end of the withdrawn job under the id
+that both have. What proved it: the owner's lines name two placements of run 1,
+and `job over` as cancelled with the age of the first; this scene repeats it.
 """
 
 from __future__ import annotations
