--- a/orchidrail/platform/tests/test_lives.py
+++ b/orchidrail/platform/tests/test_lives.py
@@ -25,6 +25,7 @@
     OrderResult,
     RunKey,
     StartOrder,
+    WorkerEntry,
 )
 from orchidrail.workers.tests.fakes import make_entry
 
@@ -139,3 +140,35 @@
             await caller.close()
 
         self.run_async(scene())
+
+    async def open_connections(
+        self,
+        workers: PlatformWorkers,
+        entry: WorkerEntry,
+        count: int,
+    ) -> None:
+        look = HoldOrder(Epoch(3))
+        looks = [workers.hold(entry, look, _TIMEOUT) for _ in range(count)]
+        await asyncio.gather(*looks)
+
+    def test_connections_that_were_open_before_are_greeted_too(self) -> None:
+        """A worker may tell its start only later than it is first called."""
+
+        async def scene() -> None:
+            caller = HttpCaller()
+            workers = PlatformWorkers(caller)
+            async with _listening() as worker:
+                unknown = msgspec.structs.replace(
+                    make_entry(),
+                    address=worker.address,
+                )
+                for count in (2, 3, 6):
+                    await self.open_connections(workers, unknown, count)
+                    known = msgspec.structs.replace(unknown, born=1000)
+                    answer = await workers.start(known, _START, _TIMEOUT)
+                    self.assertEqual(OrderResult.TAKEN, answer.result)
+                    worker.restart(born=1000)
+                    await asyncio.sleep(0.05)
+            await caller.close()
+
+        self.run_async(scene())
