--- a/orchidrail/platform/greetings.py
+++ b/orchidrail/platform/greetings.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
 from contextvars import ContextVar
-from dataclasses import dataclass
 from typing import Any, NamedTuple
 from weakref import WeakKeyDictionary
 
@@ -40,29 +39,45 @@
 
 
 class NotGreetedError(Exception):
-    """The connection at hand is not known to lead to the receiver."""
+    """The connection at hand is not known to lead to the receiver.
 
+    Parameters
+    ----------
+    connection : aiohttp.connector.Connection
+        To be greeted, or released.
+    """
+
+    def __init__(self, connection: Any) -> None:
+        """Keep the connection from other calls."""
+        super().__init__(f'{connection!r} was not greeted')
+        self.connection = connection
 
-@dataclass
-class _Use:
-    """What a connection is wanted for."""
+
+class _Use(NamedTuple):
+    """What a connection is wanted for; `greeted` is the one to be greeted."""
 
     receiver: str
-    greets: bool
-    #: The connection that a greeting went over.
-    protocol: Any = None
+    greeted: Any = None
 
 
 _use: ContextVar[_Use | None] = ContextVar('use', default=None)
 
 
 @contextmanager
-def wanted_for(receiver: str, *, greets: bool) -> Generator[_Use, None, None]:
-    """Have the connections that this task opens be for one receiver."""
-    use = _Use(receiver, greets)
-    token = _use.set(use)
+def wanted_for(
+    receiver: str,
+    greeted: Any = None,
+) -> Generator[None, None, None]:
+    """Have the connections that this task uses be for one receiver.
+
+    Parameters
+    ----------
+    greeted : aiohttp.connector.Connection, optional
+        The one to use, which was not greeted yet.
+    """
+    token = _use.set(_Use(receiver, greeted))
     try:
-        yield use
+        yield
     finally:
         _use.reset(token)
 
@@ -80,10 +95,9 @@
             WeakKeyDictionary()
         )
 
-    def note_greeted(self, use: _Use) -> None:
-        """Take that the connection of a greeting leads to its receiver."""
-        if use.protocol is not None:
-            self._receiver_by_protocol[use.protocol] = use.receiver
+    def note_greeted(self, protocol: Any, receiver: str) -> None:
+        """Take that a connection leads to a receiver."""
+        self._receiver_by_protocol[protocol] = receiver
 
     async def connect(
         self,
@@ -98,17 +112,13 @@
         NotGreetedError
             If the connection at hand may lead to somebody else.
         """
-        connection = await super().connect(req, traces, timeout)
         use = _use.get()
+        if use is not None and use.greeted is not None:
+            return use.greeted
+        connection = await super().connect(req, traces, timeout)
         if use is None:
             return connection
-        if use.greets:
-            use.protocol = connection.protocol
-            return connection
         receiver = self._receiver_by_protocol.get(connection.protocol)
         if receiver == use.receiver:
             return connection
-        connection.release()
-        raise NotGreetedError(
-            f'connection to {receiver!r}, expected {use.receiver!r}'
-        )
+        raise NotGreetedError(connection)
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -34,8 +34,8 @@
 _KEEP_ALIVE: Seconds = 60
 #: Body that stands for an answer which did not come in time.
 _SILENT = b'silent'
-#: Connections that are greeted for one call: as many as there may be.
-_GREETED_FOR_CALL = _PER_HOST
+#: Tries to find a greeted connection: all that there may be may lack it.
+_GREETED_FOR_CALL = _PER_HOST + 1
 #: Addresses that must fall silent at once for others to be doubted too.
 _SEVERAL = 3
 #: What counts as at once: looks at workers time out after 0.25 to 1.05 s.
@@ -248,12 +248,17 @@
             return await self._send(address, call, headers)
         for _ in range(_GREETED_FOR_CALL):
             try:
-                with wanted_for(greeting.receiver, greets=False):
+                with wanted_for(greeting.receiver):
                     return await self._send(address, call, headers)
-            except NotGreetedError:
-                refusal = await self._greet(address, greeting, headers)
-                if refusal is not None:
-                    return refusal
+            except NotGreetedError as error:
+                refusal = await self._greet(
+                    address,
+                    greeting,
+                    headers,
+                    error.connection,
+                )
+            if refusal is not None:
+                return refusal
         return RawAnswer(0, b'no connection was greeted', reached=False)
 
     async def _greet(
@@ -261,6 +266,7 @@
         address: Address,
         greeting: Greeting,
         headers: dict[str, str] | None,
+        connection: Any,
     ) -> RawAnswer | None:
         """Learn who is at the other end of a connection.
 
@@ -269,13 +275,14 @@
         None if it is the receiver, else the answer of a call to it, which was
         not made.
         """
-        with wanted_for(greeting.receiver, greets=True) as use:
+        protocol = connection.protocol
+        with wanted_for(greeting.receiver, connection):
             answer = await self._send(address, greeting.call, headers)
         if not answer.status:
             return answer._replace(reached=False)
         refusal = greeting.refusal(answer)
         if refusal is None:
-            self._connector.note_greeted(use)
+            self._connector.note_greeted(protocol, greeting.receiver)
         return refusal
 
     async def _send(
