--- a/standins/tests/test_returning_workers.py
+++ b/standins/tests/test_returning_workers.py
@@ -53,3 +53,12 @@
             outcome = CellModel(load, seed).play()
             broken = outcome.repeated, outcome.doubled, outcome.overfull
             self.assertEqual((0, 0, 0), broken)
+
+    def test_a_late_start_meets_a_higher_token_in_the_next_life(self) -> None:
+        """A start in doubt came 0.7 s after the next life began.
+
+        That life had seen the start's own token and none above it, so the task
+        ran again though its second run was done and acknowledged.
+        """
+        load = read_load(str(_DAYS / 'returning_late.toml'))
+        self.assertEqual(0, CellModel(load, seed=8).play().repeated)
