Model's judge: a start carried out late does not count as the owner's having met a life

Cause: ModelWorker.met was true once any order had reached a life. The second late start was judged as if the owner had met that life. No order can make void what comes before the first that arrives. Ruled out: a token not raised (it was 8 by then, and 9 at 11.4696); a look held open by the next life; a write of the fence that hung.

--- a/standins/model/worker.py
+++ b/standins/model/worker.py
@@ -62,6 +62,9 @@
         self.over = False
         #: Since when it has the room that its entry names.
         self.room_since: Seconds = -math.inf
+        #: Whether an order has reached this life in time. One that is carried
+        #: out late was made for an earlier life: no owner has met this one by it.
+        self.met = False
         #: Runs whose end as done was acknowledged here.
         self.acknowledged: set[RunKey] = set()
         self._clock_offset = clock_offset
@@ -112,10 +115,10 @@
         self._fence = max(self._fence, epoch)
         return epoch == self._fence
 
-    @property
-    def met(self) -> bool:
-        """Whether any order has reached this life."""
-        return self._fence > 0
+    def meet(self, epoch: Epoch) -> bool:
+        """Take an order that comes in time; tell whether it is heeded."""
+        self.met = True
+        return self.heeds(epoch)
 
     def reject(self, key: RunKey) -> None:
         """Start no run of a task up to this one any more."""
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -268,6 +268,7 @@
         if self._is_late(partial(self._start_late, entry, order)):
             await asyncio.sleep(timeout)
             return OrderAnswer(OrderResult.UNKNOWN)
+        worker.met = True
         answer = self._carry_out(worker, order)
         await asyncio.sleep(_TRAVELS)
         return answer
@@ -354,7 +355,7 @@
         worker = await self._reach(entry, timeout)
         if isinstance(worker, OrderAnswer):
             return worker
-        if not worker.heeds(epoch):
+        if not worker.meet(epoch):
             return OrderAnswer(OrderResult.FENCED)
         self._end(worker, key, RunEnding.STOPPED)
         worker.reject(key)
@@ -374,7 +375,7 @@
         if self._is_late(partial(self._acknowledge_late, entry, order)):
             await asyncio.sleep(timeout)
             return OrderAnswer(OrderResult.UNKNOWN)
-        if not worker.heeds(order.epoch):
+        if not worker.meet(order.epoch):
             return OrderAnswer(OrderResult.FENCED)
         worker.renew(order.deadline, loop.time())
         worker.forget(order.last_seen)
