Model and tests: tenants with limits and hot spells; three failing tests, listed

The judge counts what runs at the workers, not what the owner's books say. Size has a module of its own.

--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -21,9 +21,9 @@
     IngressLimits,
     JobSpec,
     QueueSettings,
-    Size,
     StepSpec,
 )
+from orchidrail.work.size import Size
 from orchidrail.workers.entries import BadEntry, EntryFlaw
 from orchidrail.workers.lives import SEPARATOR
 from orchidrail.workers.port import WorkerEntry, WorkerState
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -25,7 +25,7 @@
 from orchidrail.store.relay import RawAnswer, RawCall
 from orchidrail.testing import AsyncTestCase
 from orchidrail.types import Epoch, Offset, RunNumber, TaskKey
-from orchidrail.work.model import Size
+from orchidrail.work.size import Size
 from orchidrail.workers.entries import EntryFlaw
 from orchidrail.workers.port import (
     HoldOrder,
--- /dev/null
+++ b/orchidrail/platform/tests/test_tenants.py
@@ -0,0 +1,127 @@
+"""Whose call it is, by the key that it bears.
+
+Seen: calls with keys that no configuration had ever held were served, and so
+were calls with keys that had been taken away. Cause: the callers' interface
+read no key at all, and the configuration's tenants were passed over.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any, cast
+
+from blacksheep import URL
+from result import Result
+
+from orchidrail.ingress.desk import DeskAnswer
+from orchidrail.platform.callers import CallerApi
+from orchidrail.platform.documents import decode_config
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import WorkCode
+from orchidrail.work.model import CellConfig
+
+_BODY = b'{"spec":"text","phases":[{"count":1,"cpu":1000,"memMb":10}]}'
+_ROUTE = {
+    'name': 'quick',
+    'host': 'host',
+    'pathPrefix': '/q/',
+    'service': 'service',
+    'targetLatencyMs': 253,
+    'public': False,
+}
+
+
+def make_document(**changes: object) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    tenant = {
+        'name': 'kaje80',
+        'apiKeys': ['first-key', 'second-key'],
+        'priority': 1,
+        'weight': 27,
+        'maximum': {'cpu': 40_000, 'memMb': 80_000, 'gpu': 0},
+    }
+    document = {'version': 7, 'routes': [_ROUTE], 'tenants': [tenant]}
+    return {**document, **changes}
+
+
+def decode(document: dict[str, Any]) -> Result[CellConfig, str]:
+    """Decode a configuration from what the operator writes."""
+    return decode_config(json.dumps(document).encode())
+
+
+class _Request:
+    def __init__(self, method: str, path: str, key: str | None) -> None:
+        self.method = method
+        self.url = URL(path.encode())
+        self._header_by_name = {b'Host': b'host'}
+        if key is not None:
+            self._header_by_name[b'Authorization'] = f'Bearer {key}'.encode()
+
+    def get_first_header(self, name: bytes) -> bytes | None:
+        return self._header_by_name.get(name)
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        yield _BODY
+
+
+class _Desk:
+    """Answers each call; remembers that it was asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+
+    async def submit(self, *_: object, **more: object) -> DeskAnswer:
+        self.asked.append('submit')
+        return DeskAnswer(WorkCode.OK)
+
+    async def query(self, *_: object, **more: object) -> DeskAnswer:
+        self.asked.append('query')
+        return DeskAnswer(WorkCode.OK)
+
+    async def cancel(self, *_: object, **more: object) -> DeskAnswer:
+        self.asked.append('cancel')
+        return DeskAnswer(WorkCode.OK)
+
+    def waiting(self, *_: object) -> int:
+        self.asked.append('waiting')
+        return 0
+
+
+_CALLS = (
+    ('POST', '/q/0123456789abcdef'),
+    ('GET', '/q/0123456789abcdef'),
+    ('DELETE', '/q/0123456789abcdef'),
+    ('GET', '/q/'),
+)
+
+
+class KeysTest(AsyncTestCase):
+    def statuses(
+        self,
+        document: dict[str, Any],
+        key: str | None,
+        desk: _Desk | None = None,
+    ) -> set[int]:
+        """Make each kind of call with a key; return the answers' states."""
+        config = self.assert_ok(decode(document))
+        api = CallerApi(cast('Any', desk or _Desk()), lambda: config, bool)
+        return {
+            self.run_async(
+                api._answer(cast('Any', _Request(method, path, key)))
+            ).status
+            for method, path in _CALLS
+        }
+
+    def test_a_key_that_no_configuration_held_is_refused(self) -> None:
+        for key in ('third-key', '', None):
+            desk = _Desk()
+            self.assertEqual({401}, self.statuses(make_document(), key, desk))
+            self.assertEqual([], desk.asked)
+        self.assertEqual({200}, self.statuses(make_document(), 'first-key'))
+
+    def test_a_key_that_was_taken_away_is_refused(self) -> None:
+        tenant = dict(make_document()['tenants'][0], apiKeys=['second-key'])
+        document = make_document(version=9, tenants=[tenant])
+        self.assertEqual({401}, self.statuses(document, 'first-key'))
+        self.assertEqual({200}, self.statuses(document, 'second-key'))
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -11,7 +11,8 @@
 from orchidrail.shard.pace import Pace
 from orchidrail.types import Seconds, WorkerId
 from orchidrail.work.job import Task
-from orchidrail.work.model import Size, StepSpec
+from orchidrail.work.model import StepSpec
+from orchidrail.work.size import Size
 from orchidrail.workers.port import RunKey, WorkerEntry, WorkerState
 from orchidrail.workers.session import WorkerSession
 
--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -11,7 +11,8 @@
 from orchidrail.shard.books import PlacedRun, WorkerBooks
 from orchidrail.types import Seconds, WorkerId
 from orchidrail.work.job import StepState
-from orchidrail.work.model import Size, StepSpec
+from orchidrail.work.model import StepSpec
+from orchidrail.work.size import Size
 
 #: A worker holds at most so many tasks that count as large.
 _LARGE_COPIES = 2
--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -16,7 +16,8 @@
 from orchidrail.shard.placing import suits
 from orchidrail.types import ServiceName, WorkerId
 from orchidrail.work.job import StepState
-from orchidrail.work.model import Size, StepSpec
+from orchidrail.work.model import StepSpec
+from orchidrail.work.size import Size
 
 
 class _ByRoom(NamedTuple):
--- a/orchidrail/shard/passes.py
+++ b/orchidrail/shard/passes.py
@@ -15,7 +15,7 @@
 from orchidrail.shard.ranking import Timing
 from orchidrail.types import JobId, Seconds, ServiceName, WorkerId
 from orchidrail.work.job import StepState, Task
-from orchidrail.work.model import Size
+from orchidrail.work.size import Size
 from orchidrail.work.waits import WaitReason
 
 #: Steps that wait with room kept free for them, most urgent first.
--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -18,7 +18,7 @@
 from orchidrail.tasks import TaskSet
 from orchidrail.types import Seconds, WorkerId
 from orchidrail.work.job import StepState
-from orchidrail.work.model import Size
+from orchidrail.work.size import Size
 from orchidrail.workers.port import Advice
 
 #: Most workers asked about in one call.
--- a/orchidrail/shard/tests/test_earmarks.py
+++ b/orchidrail/shard/tests/test_earmarks.py
@@ -16,7 +16,8 @@
 from orchidrail.shard.open_workers import OpenWorkers
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.types import RunNumber
-from orchidrail.work.model import Size, StepSpec
+from orchidrail.work.model import StepSpec
+from orchidrail.work.size import Size
 from orchidrail.workers.port import RunKey
 
 
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -29,8 +29,9 @@
     WorkerId,
 )
 from orchidrail.work.job import Job
-from orchidrail.work.model import AdviceCost, MemberInfo, Size, StepSpec
+from orchidrail.work.model import AdviceCost, MemberInfo, StepSpec
 from orchidrail.work.records import TaskPhase
+from orchidrail.work.size import Size
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import Advice
--- a/orchidrail/shard/tests/test_room.py
+++ b/orchidrail/shard/tests/test_room.py
@@ -10,8 +10,9 @@
 from orchidrail.shard.tests.test_placing import make_books
 from orchidrail.shard.tests.test_runs import Shard, ShardTestCase
 from orchidrail.store.memory import MemoryStore, StoreFault
-from orchidrail.work.model import Size, StepSpec
+from orchidrail.work.model import StepSpec
 from orchidrail.work.records import TaskPhase
+from orchidrail.work.size import Size
 from orchidrail.work.tests.test_job import make_job
 
 _SOON = 0.12
--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -12,7 +12,7 @@
     WorkerId,
 )
 from orchidrail.work.job import Job, StepState
-from orchidrail.work.model import JobSpec, QueueSettings, Size, StepSpec
+from orchidrail.work.model import JobSpec, QueueSettings, StepSpec
 from orchidrail.work.records import (
     JobPhase,
     JobRecord,
@@ -20,6 +20,7 @@
     TaskPhase,
     TaskRow,
 )
+from orchidrail.work.size import Size
 from orchidrail.workers.port import RunEnding
 
 _WORKER = WorkerId('w-1')
--- a/orchidrail/workers/port.py
+++ b/orchidrail/workers/port.py
@@ -17,7 +17,7 @@
     WorkerId,
     WorkerName,
 )
-from orchidrail.work.model import Size
+from orchidrail.work.size import Size
 from orchidrail.workers.lives import life_of
 
 
--- a/orchidrail/workers/tests/fakes.py
+++ b/orchidrail/workers/tests/fakes.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from orchidrail.types import Address, Epoch, Seconds, ServiceName, WorkerName
-from orchidrail.work.model import Size
+from orchidrail.work.size import Size
 from orchidrail.workers.port import (
     ActiveRun,
     EndedRun,
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -10,19 +10,27 @@
 
 import msgspec
 
-from orchidrail.types import QueueName, Seconds, ServiceName
+from orchidrail.types import QueueName, Seconds, ServiceName, TenantId
 from orchidrail.work.model import (
     AdviceCost,
     JobSpec,
     QueueSettings,
-    Size,
     StepSpec,
 )
+from orchidrail.work.size import Size
+from standins.model.tenants import (
+    HotSpell,
+    LimitChange,
+    TenantLoad,
+    draw_tenant,
+)
 
 SERVICE = ServiceName('service')
 #: Wall clock at the start of a day's traffic, seconds since 1970.
 TRAFFIC_BEGINS: Seconds = 1_800_000_000
 _MILLI = 1000
+#: Time of day at which the traffic starts: the workers are met before.
+LEAD: Seconds = 3
 #: Most that a job counts, as a multiple of its queue's mean worth.
 _MOST_WORTH = 4
 #: Part of a job's worth that does not depend on its size.
@@ -188,6 +196,8 @@
     late_share : float
         Share of the orders that get no answer and are carried out seconds
         later, by whichever life then has the worker's name.
+    tenants : list of TenantLoad
+        Whose jobs they are; empty for a day without tenants.
     """
 
     queues: list[QueueLoad]
@@ -207,6 +217,9 @@
     shrinkages: list[Shrinkage] = []
     append_takes: Seconds = 0
     late_share: float = 0
+    tenants: list[TenantLoad] = []
+    hot_spells: list[HotSpell] = []
+    limit_changes: list[LimitChange] = []
 
 
 class DrawnJob(NamedTuple):
@@ -222,6 +235,9 @@
     #: Time from its arrival within which it is to end.
     objective: Seconds
     worth: float
+    tenant: TenantId = TenantId('')
+    #: Whether it is of a spell in which its tenant sends more than its usual.
+    extra: bool = False
 
 
 def read_load(path: str) -> CellLoad:
@@ -245,10 +261,32 @@
             now += random.expovariate(_rate(load, queue, now))
             if now > load.lasts:
                 break
-            jobs.append(_draw_job(load, queue, now, random))
+            job = _draw_job(load, queue, now, random)
+            owner = draw_tenant(load.tenants, random)
+            jobs.append(job._replace(tenant=owner))
+    for spell in load.hot_spells:
+        jobs.extend(_draw_spell(load, spell, random))
     return sorted(jobs, key=lambda job: job.arrives_at)
 
 
+def _draw_spell(
+    load: CellLoad,
+    spell: HotSpell,
+    random: Random,
+) -> list[DrawnJob]:
+    """Draw what a tenant sends beyond its usual; the others' jobs stay."""
+    tenant = next(one for one in load.tenants if one.name == spell.tenant)
+    jobs: list[DrawnJob] = []
+    for queue in load.queues:
+        rate = queue.per_s * tenant.share * (spell.times - 1)
+        now = spell.at + random.expovariate(rate)
+        while now < spell.at + spell.lasts:
+            job = _draw_job(load, queue, now, random)
+            jobs.append(job._replace(tenant=TenantId(tenant.name), extra=True))
+            now += random.expovariate(rate)
+    return jobs
+
+
 def _rate(load: CellLoad, queue: QueueLoad, now: Seconds) -> float:
     rate = queue.per_s
     for surge in load.surges:
--- a/standins/model/worker.py
+++ b/standins/model/worker.py
@@ -63,7 +63,7 @@
         #: Since when it has the room that its entry names.
         self.room_since: Seconds = -math.inf
         #: Whether an order has reached this life in time. One that is carried
-        #: out late was made for an earlier life: no owner has met this one by it.
+        #: out late was made for an earlier life: nobody has met this one by it.
         self.met = False
         #: Runs whose end as done was acknowledged here.
         self.acknowledged: set[RunKey] = set()
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from orchidrail.shard.books import Size
 from orchidrail.types import (
     Address,
     Epoch,
@@ -21,6 +20,7 @@
     WorkerId,
     WorkerName,
 )
+from orchidrail.work.size import Size
 from orchidrail.workers.port import (
     Advice,
     HoldOrder,
@@ -33,12 +33,14 @@
     WorkerEntry,
 )
 from standins.model.load import (
+    LEAD,
     SERVICE,
     TRAFFIC_BEGINS,
     CellLoad,
     DrawnJob,
     Shrinkage,
 )
+from standins.model.tenants import LimitJudge
 from standins.model.worker import ModelRun, ModelWorker
 
 #: One way over the network.
@@ -87,6 +89,7 @@
         #: Starts for an earlier life that were carried out by one which no
         #: owner had met: no order could have made them void.
         self.late_before_met = 0
+        self.limits = LimitJudge(load.tenants, load.limit_changes, LEAD)
         #: Runs that ended as done, and those after which a start came.
         self._done_by_task: defaultdict[TaskKey, set[RunKey]] = defaultdict(set)
         self._followed: set[RunKey] = set()
@@ -181,6 +184,7 @@
         self._lives_over.append(worker)
         for key in worker.crash():
             self._where_by_task.pop(key.task, None)
+            self._note_over(key)
             self.lost_beside += key != cause
         if cause is not None:
             self.crashes_by_task[cause.task] += 1
@@ -321,6 +325,7 @@
             return OrderAnswer(OrderResult.NO_TICKET, clock)
         if judged:
             self._judge(worker, order.key)
+        self.limits.start(job.tenant, job.spec.steps[step].size, now)
         takes = job.work[step][index] * worker.slowness
         ending = RunEnding.DONE
         if self._random.random() < job.queue.fails:
@@ -420,11 +425,17 @@
         key: RunKey,
         ending: RunEnding,
     ) -> None:
+        if key in worker.run_by_key:
+            self._note_over(key)
         worker.end(key, ending)
         self._where_by_task.pop(key.task, None)
         if ending is RunEnding.DONE:
             self._done_by_task[key.task].add(key)
 
+    def _note_over(self, key: RunKey) -> None:
+        job, step, _ = self._drawn(key)
+        self.limits.end(job.tenant, job.spec.steps[step].size)
+
     def _judge(self, worker: ModelWorker, key: RunKey) -> None:
         """Count starts that break a promise."""
         if key.task in self._where_by_task:
--- /dev/null
+++ b/standins/tests/test_tenants.py
@@ -0,0 +1,83 @@
+"""Tenants of one cell: what each may run, and what the others notice of it.
+
+Seen: on a cell whose keys, limits and shares nobody read, single tenants had
+far more running than their limits allow, and one that sent many times its usual
+took the room of all others. The sizes are those of the users' cell of twenty
+tenants, brought down to what a test can play.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from testtools import TestCase
+
+from standins.model import CellLoad, CellModel, Outcome, QueueLoad
+from standins.model.load import Draw
+from standins.model.tenants import HotSpell, TenantLoad
+
+_URGENT = QueueLoad(
+    name='urgent',
+    per_s=8,
+    worth=0.39,
+    priority=0,
+    stretch=1.5,
+    target=0.25,
+    tasks=Draw(3.2, 0.8, 19),
+    cores=Draw(2.5, 0.45, 7.4),
+    megabytes=Draw(2500),
+    work=Draw(0.64, 0.5, 1.6),
+    fails=0.005,
+    estimate_off=0.5,
+    gang=0.3,
+    advice=(0.009, 0.00013, 1.5),
+    good=0.7,
+)
+_MIDDLE = QueueLoad(
+    name='middle',
+    per_s=0.8,
+    worth=4.86,
+    priority=2,
+    stretch=4,
+    target=3,
+    tasks=Draw(25, 0.8, 80),
+    cores=Draw(1.7, 0.45, 5.2),
+    megabytes=Draw(2500),
+    work=Draw(3.4, 0.5, 8.4),
+    steps=1.5,
+    fails=0.05,
+    estimate_off=0.9,
+    advice=(0.156, 0.00234, 1.5),
+    good=0.45,
+)
+_TENANTS = [
+    TenantLoad('large', share=0.6, weight=6, cores=200),
+    TenantLoad('middling', share=0.3, weight=3, cores=120),
+    TenantLoad('small', share=0.1, weight=1, cores=60),
+]
+_CELL = CellLoad(
+    [_URGENT, _MIDDLE],
+    workers=30,
+    cores=16,
+    megabytes=32_768,
+    rack=12,
+    lanes=10,
+    lasts=15,
+    append_takes=0.008,
+    tenants=_TENANTS,
+)
+
+
+def _play(load: CellLoad, seed: int = 1) -> Outcome:
+    return CellModel(load, seed).play()
+
+
+class TenantsTest(TestCase):
+    def test_no_tenant_runs_more_than_its_limit_allows(self) -> None:
+        hot = HotSpell('large', at=2, lasts=8, times=4)
+        late = msgspec.structs.replace(
+            _CELL,
+            hot_spells=[hot],
+            late_share=0.05,
+        )
+        for seed in (1, 2):
+            self.assertEqual(0, _play(late, seed).over_limit)
