Shares: what a tenant sends beyond its weight goes behind what is owed

Cause: who comes first goes first, so one tenant at six times its usual takes the room of all. A job beyond its share is told so at once, with the time until its next is owed. Also: a state machine of the ledger over owners, crashes and limits; whose job it is over owners and over records of the version before.

--- a/orchidrail/access/rates.py
+++ b/orchidrail/access/rates.py
@@ -24,11 +24,19 @@
 
     def take(self, now: Seconds) -> bool:
         """Take one token; return False if there is none."""
-        if self._filled_at is not None:
-            earned = (now - self._filled_at) * self.rate
-            self._tokens = min(self._burst, self._tokens + earned)
-        self._filled_at = now
+        self._fill(now)
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
+
+    def ready_in(self, now: Seconds) -> Seconds:
+        """Return after how many seconds there is a token, 0 if there is one."""
+        self._fill(now)
+        return max(0, 1 - self._tokens) / self.rate
+
+    def _fill(self, now: Seconds) -> None:
+        if self._filled_at is not None:
+            earned = (now - self._filled_at) * self.rate
+            self._tokens = min(self._burst, self._tokens + earned)
+        self._filled_at = now
--- a/orchidrail/instance/config_follower.py
+++ b/orchidrail/instance/config_follower.py
@@ -135,4 +135,8 @@
             'configuration in force',
             version=config.version,
             queues=len(config.queues),
+            tenants={
+                tenant.name: (tenant.weight, tenant.maximum)
+                for tenant in config.tenant_by_name.values()
+            },
         )
--- a/orchidrail/instance/peer_service.py
+++ b/orchidrail/instance/peer_service.py
@@ -102,7 +102,8 @@
             return _NOT_OWNER
         spec = decode_spec(message.spec)
         tenant = decode_tenant(message.tenant) if message.tenant else NOBODY
-        objection = owner.objection(message.job_id, spec, tenant)
+        queue = _decode_queue(message.queue)
+        objection = owner.objection(message.job_id, queue, spec, tenant)
         if objection is not None:
             return WorkAnswer(
                 code=objection.code,
@@ -110,7 +111,7 @@
             )
         accepted = await owner.submit(
             message.job_id,
-            _decode_queue(message.queue),
+            queue,
             spec,
             message.patience,
             tenant,
--- /dev/null
+++ b/orchidrail/properties/test_tenant_ledger.py
@@ -0,0 +1,204 @@
+"""What a tenant has running never passes its limit, whatever comes when.
+
+Drawn are placements, answers and silences, late ends, stops, workers that crash
+or come back, jobs that are cancelled, limits that rise and fall, and changes of
+the owner. What may run is counted beside the books, from what was placed and
+what has surely ended.
+"""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.tenant_ledger import TenantLedger, holding_of
+from orchidrail.shard.tests.test_placing import make_books
+from orchidrail.shard.unresolved import UnresolvedRuns
+from orchidrail.types import JobId, RunNumber, TenantId, WorkerId
+from orchidrail.work.job import Job, Task
+from orchidrail.work.model import JobSpec, StepSpec
+from orchidrail.work.records import JobRecord, TaskPhase
+from orchidrail.work.size import Size
+from orchidrail.work.tenant import Tenant
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.port import RunKey
+
+_NAMES = ('large', 'small')
+_WORKERS = 3
+_QUEUE = make_job(StepSpec(1)).queue
+_limits = st.integers(0, 12).map(lambda cores: Size(cores * 1000, 0))
+
+
+class _Runs:
+    """What may run, counted by itself."""
+
+    def __init__(self) -> None:
+        self.where_by_key: dict[RunKey, tuple[Task, int]] = {}
+
+    def used(self, name: str) -> Size:
+        used = Size()
+        for task, _ in self.where_by_key.values():
+            if task.step.job.tenant.name == name:
+                used += task.step.spec.size
+        return used
+
+
+class TenantLedgerMachine(RuleBasedStateMachine):
+    """One owner after another, with what may run on three workers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tenant_by_name = {
+            TenantId(name): Tenant(TenantId(name), 1, Size(8000, 0))
+            for name in _NAMES
+        }
+        self.runs = _Runs()
+        self.jobs: list[Job] = []
+        self.begin_owner()
+
+    def begin_owner(self) -> None:
+        """Take over with nothing but what the journal tells."""
+        self.ledger = TenantLedger(self.tenant_by_name.get)
+        self.unresolved = UnresolvedRuns(self.ledger)
+        self.books: list[WorkerBooks] = []
+        for number in range(_WORKERS):
+            books = make_books(f'w-{number}', 64)
+            books._ledger = self.ledger
+            self.books.append(books)
+
+    def worker(self, number: int) -> WorkerId:
+        return self.books[number].worker
+
+    @initialize()
+    def meet(self) -> None:
+        self.met = set(range(_WORKERS))
+
+    @rule(
+        name=st.sampled_from(_NAMES),
+        count=st.integers(1, 6),
+        cores=st.integers(1, 4),
+        gang=st.booleans(),
+        fills=st.booleans(),
+        number=st.integers(0, _WORKERS - 1),
+    )
+    def place(
+        self,
+        name: str,
+        count: int,
+        cores: int,
+        gang: bool,
+        fills: bool,
+        number: int,
+    ) -> None:
+        """Place what the ledger allows of a new job's step."""
+        if number not in self.met:
+            return
+        tenant = self.tenant_by_name[TenantId(name)]
+        step = StepSpec(count, Size(cores * 1000, 1), gang=gang, fills=fills)
+        record = JobRecord(_QUEUE, JobSpec('', (step,)), 0, tenant)
+        job = Job(JobId(f'{len(self.jobs):016x}'), record)
+        self.jobs.append(job)
+        state = job.steps(0)[0]
+        allowed = self.ledger.allow(state, state.tasks)
+        limit = tenant.maximum.millicores
+        before = self.runs.used(name).millicores
+        for task in allowed:
+            books = self.books[number]
+            key = RunKey(task.key, RunNumber(1))
+            books.charge(PlacedRun(key, state.spec.charged, task, 0), state.key)
+            job.place(task, RunNumber(1), books.worker)
+            self.runs.where_by_key[key] = task, number
+        after = self.runs.used(name).millicores
+        assert not limit or after <= limit or not allowed
+        fits = (limit - before) // (cores * 1000) if limit else count
+        expected = min(count, max(0, fits))
+        if gang and expected < count:
+            expected = 0
+        assert len(allowed) == expected
+
+    @precondition(lambda machine: machine.runs.where_by_key)
+    @rule(data=st.data())
+    def end(self, data: st.DataObject) -> None:
+        """Hear of an end, of whichever run."""
+        keys = sorted(self.runs.where_by_key)
+        key = data.draw(st.sampled_from(keys))
+        task, number = self.runs.where_by_key[key]
+        if number not in self.met:
+            return
+        self.books[number].release(key)
+        self.runs.where_by_key.pop(key)
+        task.phase = TaskPhase.DONE
+
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def crash(self, number: int) -> None:
+        """Give up a worker, heard of or not."""
+        for key, (task, where) in list(self.runs.where_by_key.items()):
+            if where == number:
+                self.books[number].release(key)
+                self.runs.where_by_key.pop(key)
+                task.phase = TaskPhase.WAITING
+        self.unresolved.settle(self.worker(number))
+        self.met.add(number)
+
+    @rule(name=st.sampled_from(_NAMES), maximum=_limits)
+    def change_limit(self, name: str, maximum: Size) -> None:
+        tenant = Tenant(TenantId(name), 1, maximum)
+        self.tenant_by_name[TenantId(name)] = tenant
+
+    @rule(left=st.booleans())
+    def replace_owner(self, left: bool) -> None:
+        """Begin anew; what was placed is known from the journal.
+
+        Of jobs that have ended meanwhile it tells their runs that may be left.
+        """
+        self.begin_owner()
+        self.met.clear()
+        for key, (task, number) in self.runs.where_by_key.items():
+            if left:
+                holding = holding_of(task)
+                self.unresolved.add_left(self.worker(number), key, holding)
+            else:
+                self.unresolved.add(self.worker(number), [(task, key.run)])
+
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def hear_worker(self, number: int) -> None:
+        """Adopt what a worker lists, then settle what was not known of it."""
+        if number in self.met:
+            return
+        worker = self.worker(number)
+        books = self.books[number]
+        for key, (task, where) in self.runs.where_by_key.items():
+            if where != number:
+                continue
+            left = self.unresolved.left_on(worker, key)
+            run = PlacedRun(
+                key,
+                task.step.spec.charged,
+                None if left else task,
+                0,
+                left=left,
+            )
+            books.charge(run, task.step.key)
+        self.unresolved.settle(worker)
+        self.met.add(number)
+
+    @invariant()
+    def counts_what_may_run(self) -> None:
+        for name in _NAMES:
+            assert self.ledger.used(TenantId(name)) == self.runs.used(name)
+
+
+TestTenantLedger = TenantLedgerMachine.TestCase
+TestTenantLedger.settings = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+)
--- a/orchidrail/shard/objections.py
+++ b/orchidrail/shard/objections.py
@@ -9,11 +9,15 @@
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.stored import StoredState
 from orchidrail.types import Seconds, WorkCode
-from orchidrail.work.model import JobSpec, StepSpec
+from orchidrail.work.model import JobSpec, QueueSettings, StepSpec
 from orchidrail.work.size import Size
 from orchidrail.work.tenant import Tenant
 
 _log = structlog.get_logger()
+#: Part of a service's room that stays free of what is beyond its tenant's
+#: share: work of others that comes next needs it, and a task that runs is not
+#: stopped for them.
+_SPARED = 0.1
 
 
 class Objection(NamedTuple):
@@ -49,26 +53,61 @@
         """Go by the limits in force."""
         self._state = state
 
-    def find(self, spec: JobSpec, tenant: Tenant) -> Objection | None:
+    def find(
+        self,
+        queue: QueueSettings,
+        spec: JobSpec,
+        tenant: Tenant,
+    ) -> Objection | None:
         """Return why a job can't be taken, if there is a reason.
 
         A task, or a gang, above its tenant's limit would wait for ever; its
         caller is told at once. One that was accepted before the limit fell
-        below it stays: the limit may rise again.
+        below it stays: the limit may rise again. What is beyond its tenant's
+        share is refused where others may need the room.
         """
         current = self._state.ledger.current(tenant)
+        if not self._fits(spec, current):
+            return Objection(WorkCode.NEVER_FITS)
+        owed_in = self._state.shares.owed_in(current)
+        if owed_in and not self._room_to_spare(queue):
+            _log.info(
+                'job beyond its share refused',
+                tenant=current.name,
+                weight=current.weight,
+                owed_in=round(owed_in, 3),
+            )
+            return Objection(WorkCode.BEYOND_SHARE, owed_in)
+        return None
+
+    def _fits(self, spec: JobSpec, current: Tenant) -> bool:
         for number, step in enumerate(spec.steps):
             at_once = size_at_once(step)
             if not current.ever_fits(at_once):
                 _log.info(
                     'job never fits its tenant',
-                    tenant=tenant.name,
+                    tenant=current.name,
                     step=number,
                     needs=at_once,
                     maximum=current.maximum,
                 )
-                return Objection(WorkCode.NEVER_FITS)
-        return None
+                return False
+        return True
+
+    def _room_to_spare(self, queue: QueueSettings) -> bool:
+        """Whether what waits leaves enough of a service's room free."""
+        free, whole = 0, 0
+        now = self._state.clock()
+        for books in self._state.books_by_worker.values():
+            if books.entry.service == queue.service and books.open(now):
+                free += books.free.millicores
+                whole += books.entry.capacity.millicores
+        waiting = sum(
+            step.spec.size.millicores * len(step.startable())
+            for job in self._state.job_by_id.values()
+            for step in job.open_steps(self._state.wall_clock())
+        )
+        return free - waiting > whole * _SPARED
 
 
 def size_at_once(step: StepSpec) -> Size:
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -168,6 +168,7 @@
     def objection(
         self,
         job_id: JobId,
+        queue: QueueSettings,
         spec: JobSpec,
         tenant: Tenant,
     ) -> Objection | None:
@@ -175,7 +176,7 @@
         known = self.state_of(job_id)
         if known is not None:
             return object_to_known(known, tenant)
-        return self._objections.find(spec, tenant)
+        return self._objections.find(queue, spec, tenant)
 
     async def submit(
         self,
@@ -207,7 +208,14 @@
                 trouble=self.writer.trouble,
             )
             return False
-        record = JobRecord(queue, spec, self._ports.wall_clock(), tenant)
+        beyond = not self.state.shares.take(self.state.ledger.current(tenant))
+        record = JobRecord(
+            queue,
+            spec,
+            self._ports.wall_clock(),
+            tenant,
+            beyond,
+        )
         job = Job(job_id, record)
         self.state.job_by_id[job_id] = job
         commit = self.writer.put(job_key(job_id), encode(record))
@@ -257,6 +265,8 @@
             'job accepted',
             job=job.job_id,
             queue=job.queue.name,
+            tenant=job.tenant.name,
+            beyond=job.record.beyond,
             tasks=sum(step.count for step in job.spec.steps),
             epoch=self.writer.owner.epoch,
         )
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -10,7 +10,7 @@
 
 Rank = tuple[float, ...]
 
-_URGENT, _OTHER = 0, 1
+_URGENT, _OTHER, _BEYOND = 0, 1, 2
 #: A step whose latest start is nearer than this takes what room there is.
 _SPARE: Seconds = 2.0
 #: How far a late step is put off: as long as a usual job of the users' sites
@@ -54,15 +54,20 @@
         When the step's round was due, or its job accepted.
     urgent : bool
         Whether the step's queue goes before all others.
+    beyond : bool
+        Whether its job is beyond what its tenant is owed.
     """
 
     latest_start: Seconds
     deadline: Seconds
     began: Seconds
     urgent: bool
+    beyond: bool = False
 
     def has_time(self, wall: Seconds) -> bool:
         """Whether the step still meets its objective if it waits a while."""
+        if self.beyond:
+            return True
         return not self.urgent and wall < self.latest_start - _SPARE
 
     def rank(self, wall: Seconds) -> Rank:
@@ -71,8 +76,11 @@
         Urgent queues go first; then the others by the latest time at which
         they must start. What is late already, urgent or not, is put off for a
         while: it does not starve what can be in time, but goes before what must
-        start later than that, so it is not starved for good.
+        start later than that, so it is not starved for good. What a tenant
+        sends beyond what it is owed goes behind all that is owed.
         """
+        if self.beyond:
+            return (_BEYOND, self.latest_start)
         if wall > self.deadline:
             return (_OTHER, self.deadline + _LATE_WAITS)
         if self.urgent:
@@ -89,4 +97,5 @@
         deadline,
         _begins_at(job, step.round_number),
         job.urgent,
+        job.record.beyond,
     )
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -188,6 +188,7 @@
             cause=job.cause.value,
             crashes=job.crashes(),
             queue=job.queue.name,
+            tenant=job.tenant.name,
             took=round(self._state.wall_clock() - job.record.accepted_at, 3),
             expected=round(due_at(job) - job.record.accepted_at, 3),
             failures=job.failures(),
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -10,6 +10,7 @@
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.pace import Paces
+from orchidrail.shard.shares import Shares
 from orchidrail.shard.tenant_ledger import (
     FindTenant,
     TenantLedger,
@@ -83,6 +84,7 @@
     ) -> None:
         """Start without jobs and workers."""
         self.ledger = TenantLedger(find_tenant)
+        self.shares = Shares(clock)
         self.metrics = metrics
         metrics.epoch.set(writer.owner.epoch)
         self.writer = writer
--- /dev/null
+++ b/orchidrail/shard/tests/test_whose_job.py
@@ -0,0 +1,250 @@
+"""Whose job it is: kept over owners and versions, and told to nobody else."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+import msgspec
+
+from orchidrail.instance.peer_service import PeerService
+from orchidrail.journal import JournalView
+from orchidrail.journal.writer import take_over
+from orchidrail.shard.owner import ShardOwner
+from orchidrail.shard.tests.test_owner import make_ports
+from orchidrail.store import Topic
+from orchidrail.store.memory import MemoryStore
+from orchidrail.testing import AsyncTestCase
+from orchidrail.types import (
+    Address,
+    Epoch,
+    InstanceId,
+    JobId,
+    RunNumber,
+    TaskKey,
+    TenantId,
+    WorkCode,
+    WorkerName,
+)
+from orchidrail.wire.messages import (
+    CancelWork,
+    Message,
+    QueryWork,
+    SubmitWork,
+)
+from orchidrail.work.model import (
+    JobSpec,
+    MemberInfo,
+    QueueSettings,
+    StepSpec,
+)
+from orchidrail.work.records import (
+    EndedRecord,
+    JobPhase,
+    JobRecord,
+    LeftRun,
+    decode_job,
+    encode,
+    job_key,
+)
+from orchidrail.work.size import Size
+from orchidrail.work.tenant import NOBODY, Tenant
+from orchidrail.work.tests.test_job import make_job
+
+_ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
+_JOB = JobId('0123456789abcdef')
+_QUEUE = make_job(StepSpec(1)).queue
+_SPEC = JobSpec('text', (StepSpec(2, Size(2000, 10)),))
+_STORES = Tenant(TenantId('stores'), 2, Size(3000, 0))
+_BUYERS = Tenant(TenantId('buyers'), 1)
+
+
+class _OldJobRecord(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='open',
+):
+    """What the version before the tenants writes and reads."""
+
+    queue: QueueSettings
+    spec: JobSpec
+    accepted_at: float
+
+
+class _OldEndedRecord(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='ended',
+):
+    """The same of a job that has ended."""
+
+    phase: JobPhase
+    ended_at: float
+    queue: str = ''
+    cause: str = ''
+
+
+class WhoseJobTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = MemoryStore()
+
+    async def take(self, epoch: int, *tenants: Tenant) -> ShardOwner:
+        view = JournalView(self.store, Topic('journal'))
+        writer = await take_over(view, _ME, time.monotonic, Epoch(epoch))
+        by_name = {tenant.name: tenant for tenant in tenants}
+        ports = make_ports(self.store)._replace(find_tenant=by_name.get)
+        return ShardOwner(writer, ports)
+
+    def play(
+        self,
+        scene: Callable[[ShardOwner], Awaitable[None]],
+        *tenants: Tenant,
+    ) -> None:
+        """Run a scene beside the owner."""
+
+        async def run() -> None:
+            owner = await self.take(0, *tenants)
+            running = asyncio.create_task(owner.run())
+            try:
+                await scene(owner)
+            finally:
+                running.cancel()
+
+        self.run_async(run())
+
+    async def ask(self, owner: ShardOwner, message: Message) -> Any:
+        service = PeerService(
+            cast('Any', None),
+            cast('Any', SimpleNamespace(owner=owner)),
+            cast('Any', None),
+            cast('Any', None),
+        )
+        return await service.handle(message)
+
+    async def submit(self, owner: ShardOwner, tenant: Tenant) -> WorkCode:
+        message = SubmitWork(
+            job_id=_JOB,
+            queue=encode(_QUEUE),
+            spec=encode(_SPEC),
+            patience=1,
+            tenant=b'' if tenant is NOBODY else encode(tenant),
+        )
+        return (await self.ask(owner, message)).code
+
+    def test_a_job_is_told_to_its_tenant_only(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            self.assertIs(WorkCode.OK, await self.submit(owner, _STORES))
+            for name, code in (
+                ('stores', WorkCode.OK),
+                ('buyers', WorkCode.NO_SUCH_JOB),
+                ('', WorkCode.OK),
+            ):
+                message = QueryWork(job_id=_JOB, tenant=TenantId(name))
+                answer = await self.ask(owner, message)
+                self.assertIs(code, answer.code)
+
+        self.play(scene)
+
+    def test_a_job_is_cancelled_by_its_tenant_only(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await self.submit(owner, _STORES)
+            message = CancelWork(job_id=_JOB, tenant=_BUYERS.name)
+            answer = await self.ask(owner, message)
+            self.assertIs(WorkCode.NO_SUCH_JOB, answer.code)
+            self.assertIs(JobPhase.QUEUED, owner.phase(_JOB))
+            message = CancelWork(job_id=_JOB, tenant=_STORES.name)
+            answer = await self.ask(owner, message)
+            self.assertIs(WorkCode.OK, answer.code)
+
+        self.play(scene)
+
+    def test_one_id_sent_by_two_tenants_is_the_first_one_s_job(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await self.submit(owner, _STORES)
+            for tenant, code in (
+                (_STORES, WorkCode.OK),
+                (_BUYERS, WorkCode.OTHERS_JOB),
+                (NOBODY, WorkCode.OTHERS_JOB),
+            ):
+                self.assertIs(code, await self.submit(owner, tenant))
+            job = owner.state.job_by_id[_JOB]
+            self.assertEqual(_STORES, job.tenant)
+
+        self.play(scene)
+
+    def test_the_next_owner_knows_whose_it_is(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await self.submit(owner, _STORES)
+            following = await self.take(1)
+            self.assertEqual(_STORES, following.state.job_by_id[_JOB].tenant)
+
+        self.play(scene)
+
+    def test_a_tenant_that_has_left_keeps_the_limit_that_it_had(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            await self.submit(owner, _STORES)
+            step = owner.state.job_by_id[_JOB].steps(0)[0]
+            allowed = owner.state.ledger.allow(step, step.tasks)
+            self.assertEqual(1, len(allowed))
+
+        self.play(scene)
+
+    def test_what_never_fits_its_tenant_is_refused_at_once(self) -> None:
+        async def scene(owner: ShardOwner) -> None:
+            code = await self.submit(owner, _STORES)
+            self.assertIs(WorkCode.NEVER_FITS, code)
+            self.assertIsNone(owner.phase(_JOB))
+
+        small = Tenant(_STORES.name, 2, Size(1999, 0))
+        self.play(scene, small)
+
+    def test_runs_of_an_ended_job_count_until_they_are_over(self) -> None:
+        left = LeftRun(
+            TaskKey(f'{_JOB}.0.0.1'),
+            RunNumber(1),
+            Size(2000, 10),
+            WorkerName('w-1'),
+            7,
+        )
+        ended = EndedRecord(
+            JobPhase.CANCELLED,
+            time.time(),
+            tenant=_STORES,
+            left=(left,),
+        )
+
+        async def scene(owner: ShardOwner) -> None:
+            owner.writer.put(job_key(_JOB), encode(ended))
+            await owner.writer.flush()
+            following = await self.take(1)
+            ledger = following.state.ledger
+            self.assertEqual(Size(2000, 10), ledger.used(_STORES.name))
+            for worker in list(following.state.unresolved_by_worker):
+                following.state.unresolved_by_worker.settle(worker)
+            self.assertEqual(Size(), ledger.used(_STORES.name))
+
+        self.play(scene)
+
+
+class VersionsTest(AsyncTestCase):
+    def test_records_of_the_version_before_are_nobody_s(self) -> None:
+        old = encode(_OldJobRecord(_QUEUE, _SPEC, 5))
+        self.assertEqual(JobRecord(_QUEUE, _SPEC, 5), decode_job(old))
+        ended = encode(_OldEndedRecord(JobPhase.FAILED, 5))
+        self.assertEqual(EndedRecord(JobPhase.FAILED, 5), decode_job(ended))
+
+    def test_the_version_before_reads_our_records(self) -> None:
+        decoder = msgspec.msgpack.Decoder(_OldJobRecord | _OldEndedRecord)
+        record = JobRecord(_QUEUE, _SPEC, 5, _STORES, True)
+        old = decoder.decode(encode(record))
+        self.assertEqual(_OldJobRecord(_QUEUE, _SPEC, 5), old)
+        ended = EndedRecord(JobPhase.FAILED, 5, 'quick', tenant=_STORES)
+        old = decoder.decode(encode(ended))
+        expected = _OldEndedRecord(JobPhase.FAILED, 5, 'quick')
+        self.assertEqual(expected, old)
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -85,6 +85,8 @@
     #: For whom it is run, as its share and limit were at that time; nobody in
     #: journals of versions without tenants.
     tenant: Tenant = NOBODY
+    #: Whether it is beyond what its tenant is owed.
+    beyond: bool = False
 
 
 class LeftRun(NamedTuple):
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -191,12 +191,10 @@
         drawn: DrawnJob,
     ) -> None:
         await asyncio.sleep(drawn.arrives_at)
-        await owner.submit(
-            JobId(job_id),
-            drawn.queue.settings,
-            drawn.spec,
-            tenant=self._find_tenant(drawn.tenant),
-        )
+        known = JobId(job_id)
+        settings, tenant = drawn.queue.settings, self._find_tenant(drawn.tenant)
+        if owner.objection(known, settings, drawn.spec, tenant) is None:
+            await owner.submit(known, settings, drawn.spec, tenant=tenant)
 
     def _find_tenant(self, name: TenantId) -> Tenant:
         """Return a tenant as the owner knows it now."""
