--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,12 +12,15 @@
 import aiohttp
 
 from soak.ledger import Ledger, SentJob
+from soak.tenants import Operator
 
 _HOST = 'queue.example'
 _DEADLINE = 3.0
 _TRIES = 4
 _ASK_EVERY = 0.4
 _CRASHING_SHARE = 0.02
+#: Share of the jobs before which a call with a key that nobody had is made.
+_FALSE_KEYS = 0.1
 _STEPS: tuple[list[dict[str, Any]], ...] = (
     [{'count': 2, 'cpu': 2000, 'memMb': 100, 'estimatedMs': 300}],
     [{'count': 1, 'cpu': 1000, 'memMb': 100, 'estimatedMs': 100}],
@@ -52,8 +55,12 @@
         ledger: Ledger,
         random: Random,
         crashing: Random | None,
+        operator: Operator,
+        tenants: Random,
     ) -> None:
         """Open no connection yet; without `crashing` no job crashes workers."""
+        self._operator = operator
+        self._tenants = tenants
         self.endings: Counter[str] = Counter()
         self._addresses = addresses
         self._ledger = ledger
@@ -101,10 +108,13 @@
         # Drawn by itself, so that seeds kept from before play as they did.
         crashing = self._crashing and self._crashing.random() < _CRASHING_SHARE
         job = SentJob(job_id, f'text-{job_id}', steps, bool(crashing))
+        job.tenant = self._operator.draw_tenant(self._tenants)
         self._ledger.job_by_id[job_id] = job
         return job
 
     async def _live_through(self, job: SentJob) -> None:
+        if job.tenant and self._tenants.random() < _FALSE_KEYS:
+            await self._try_false_key(job)
         await self._submit(job)
         if job.accepted and self._random.random() < 0.06:
             await asyncio.sleep(self._random.uniform(0, 1))
@@ -113,6 +123,26 @@
             await asyncio.sleep(_ASK_EVERY)
             await self._ask(job)
 
+    async def _try_false_key(self, job: SentJob) -> None:
+        """Ask for a job's queue with a key that nobody ever had."""
+        status = await self._call('DELETE', job, key='no-such-key')
+        self.endings[f'false key {status}'] += 1
+        if status not in {401, 503, 0, -1}:
+            self._ledger.breach('ROUTE', f'a false key got {status}')
+
+    async def check_keys(self, taken: list[str]) -> None:
+        """Ask each machine in calm, with keys taken away and with a good one."""
+        job = SentJob('0' * 16, '', [])
+        for address in self._addresses:
+            for key, served in (
+                *((key, False) for key in taken),
+                (self._operator.key_of('small'), True),
+            ):
+                status = await self._call('GET', job, key=key, address=address)
+                if (status == 401) is served:
+                    detail = f'{key} got {status} at {address}'
+                    self._ledger.breach('CONFIG', detail)
+
     async def _submit(self, job: SentJob) -> None:
         body = {'spec': job.text, 'phases': job.steps}
         for _ in range(_TRIES):
@@ -122,6 +152,8 @@
                 job.accepted = True
                 return
             refused = status in {429, 503, -1}
+            # The key that was read before may have been taken away since.
+            refused = refused or (status == 401 and bool(job.tenant))
             if status == 404:
                 self._ledger.breach('CONFIG', f'{job.job_id} got 404')
             job.doubtful = job.doubtful or not refused
@@ -142,10 +174,14 @@
         method: str,
         job: SentJob,
         body: dict[str, Any] | None = None,
+        key: str = '',
+        address: str = '',
     ) -> int:
         """Return the status, 0 without an answer, -1 if not sent."""
-        address = self._random.choice(self._addresses)
+        address = address or self._random.choice(self._addresses)
+        key = key or self._operator.key_of(job.tenant)
         headers = {
+            'Authorization': f'Bearer {key}',
             'Host': _HOST,
             'X-Orchidrail-Deadline-Ms': str(int(_DEADLINE * 1000)),
             'Content-Type': 'application/json',
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -5,7 +5,7 @@
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 #: Crashes of a task that are its own doing, after which its starts count.
 MOST_CRASHES = 3
@@ -32,6 +32,12 @@
     cancel_sent: bool = False
     cancelled_at: float | None = None
     state: str = ''
+    tenant: str = ''
+
+    def cpu_of(self, task: str) -> int:
+        """Return what one of its tasks asks for, in thousandths of a core."""
+        step = self.steps[int(task.split('.')[2])]
+        return int(step.get('cpu', 0))
 
     @property
     def over(self) -> bool:
@@ -54,6 +60,16 @@
     late_starts: int = 0
 
 
+class Limits(Protocol):
+    """Judges what tenants have running."""
+
+    def note_start(self, tenant: str, cpu: int) -> None:
+        """Judge a start."""
+
+    def note_end(self, tenant: str, cpu: int) -> None:
+        """Take that a run is over."""
+
+
 class Ledger:
     """Collects what is seen and judges it at once."""
 
@@ -63,6 +79,7 @@
         self.job_by_id: dict[str, SentJob] = {}
         self.task_by_key: dict[str, TaskLog] = defaultdict(TaskLog)
         self.began = time.monotonic()
+        self.limits: Limits | None = None
 
     def breach(self, rule: str, detail: str) -> None:
         """Note that a promise was broken."""
@@ -76,6 +93,8 @@
         if job is None or job.text != text:
             self.breach('UNASKED', f'{key} on {worker}, text {text!r}')
             return
+        if self.limits is not None:
+            self.limits.note_start(job.tenant, job.cpu_of(key))
         task = self.task_by_key[key]
         task.starts += 1
         task.late_starts += task.crashes >= MOST_CRASHES
@@ -95,6 +114,9 @@
 
     def note_end(self, key: str, worker: str, how: str) -> None:
         """Take that a run ended at a worker."""
+        job = self.job_by_id.get(key.partition('.')[0])
+        if self.limits is not None and job is not None:
+            self.limits.note_end(job.tenant, job.cpu_of(key))
         task = self.task_by_key[key]
         task.running.discard(worker)
         task.done = task.done or how == 'done'
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import functools
-import json
 import pathlib
 import tempfile
 import time
@@ -23,6 +23,7 @@
 from soak.proxy import Proxy
 from soak.store import StoreStandIn
 from soak.system import Instance
+from soak.tenants import Operator
 from soak.workers import WorkerStandIn
 
 _ZONES = 3
@@ -34,8 +35,10 @@
 _START_WITHIN = 15.0
 _PER_SECOND = 6.0
 _SETTLE = 40.0
+#: Calm after which a machine is in touch, and time to apply a configuration.
+_IN_TOUCH, _APPLIES_WITHIN = 3.0, 3.0
 _CONFIG = {
-    'version': 1,
+    'version': 0,
     'routes': [
         {
             'name': 'queue',
@@ -91,11 +94,19 @@
         self._returns = Random(f'returns {seed}') if crashing else None
         self._foreign = Random(f'foreign {seed}') if crashing else None
         self.ledger = Ledger()
+        self._tenants = Random(f'tenants {seed}')
         self._network = f'127.{slot}'
         self._random = Random(seed)
         store_host = f'{self._network}.9.1'
         self._store = StoreStandIn()
         self._store_at = store_host, _STORE_PORT
+        self._operator = Operator(
+            copy.deepcopy(_CONFIG),
+            self._store,
+            self.ledger,
+            Random(f'operator {seed}') if crashing else None,
+        )
+        self.ledger.limits = self._operator
         self._worker_host = f'{self._network}.9.2'
         gangs: dict[str, set[str]] = {}
         self._workers = [
@@ -136,6 +147,8 @@
                 self.ledger,
                 self._random,
                 self._crashing,
+                self._operator,
+                self._tenants,
             )
             stack.push_async_callback(callers.close)
             await self._wait_until_ready()
@@ -152,8 +165,11 @@
                 faults.run(until),
                 faults.shrink_rooms(until, self._crashing),
                 faults.write_entries(until, self._foreign),
+                self._operator.work(until),
             )
             await callers.settle(_SETTLE)
+            if self._operator.keys_by_tenant:
+                await self._take_keys_away(callers)
             self.ledger.judge_end()
             jobs = self.ledger.job_by_id.values()
             return Outcome(
@@ -164,12 +180,19 @@
                 callers.endings,
             )
 
+    async def _take_keys_away(self, callers: Callers) -> None:
+        """Take a tenant's keys away in calm; every machine must heed it."""
+        await asyncio.sleep(_IN_TOUCH)
+        taken = self._operator.take_all_keys('large')
+        await asyncio.sleep(_APPLIES_WITHIN)
+        await callers.check_keys(taken)
+
     def _worker_at(self, number: int) -> tuple[str, int]:
         return self._worker_host, _WORKER_PORT + number
 
     async def _open(self, stack: AsyncExitStack) -> None:
         await self._refuse_a_network_in_use()
-        self._store.put('keyed.op', 'config', json.dumps(_CONFIG).encode())
+        self._operator.write()
         host, port = self._store_at
         await serve(stack, self._store.serve, [listen(f'{host}:{port}')])
         ports = [_WORKER_PORT + number for number in range(_WORKERS)]
--- /dev/null
+++ b/soak/tests/test_tenants.py
@@ -0,0 +1,55 @@
+"""Tests that the soak's operator notices what tenants run too much."""
+
+from __future__ import annotations
+
+from random import Random
+
+from testtools import TestCase
+
+from soak.ledger import Ledger, SentJob
+from soak.store import StoreStandIn
+from soak.tenants import Operator
+
+_TASK = f'{"a" * 16}.0.0.'
+
+
+class OperatorTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ledger = Ledger()
+        self.operator = Operator(
+            {'version': 0},
+            StoreStandIn(),
+            self.ledger,
+            Random(1),
+        )
+        self.ledger.limits = self.operator
+        steps = [{'count': 99, 'cpu': 10_000}]
+        job = SentJob('a' * 16, 'text', steps, tenant='small')
+        self.ledger.job_by_id[job.job_id] = job
+
+    def start(self, count: int) -> None:
+        for index in range(count):
+            self.ledger.note_start(f'{_TASK}{index}', 'text', 'w')
+
+    def test_a_start_past_a_limit(self) -> None:
+        self.start(3)
+        self.assertEqual([], self.ledger.broken)
+        self.start(4)
+        self.assertIn('QUOTA', self.ledger.broken[-1])
+
+    def test_what_has_ended_does_not_count(self) -> None:
+        for index in range(9):
+            self.ledger.note_start(f'{_TASK}{index}', 'text', 'w')
+            self.ledger.note_end(f'{_TASK}{index}', 'w', 'done')
+        self.assertEqual([], self.ledger.broken)
+
+    def test_a_limit_that_was_lowered_counts_for_a_while(self) -> None:
+        job = self.ledger.job_by_id['a' * 16]
+        job.tenant = 'large'
+        self.operator._change_limit()
+        self.start(5)
+        self.assertEqual([], self.ledger.broken)
+        self.operator._lifted['large'].clear()
+        self.start(6)
+        self.assertIn('QUOTA', self.ledger.broken[-1])
