--- a/soak/callers.py
+++ b/soak/callers.py
@@ -131,7 +131,7 @@
             self._ledger.breach('ROUTE', f'a false key got {status}')
 
     async def check_keys(self, taken: list[str]) -> None:
-        """Ask each machine in calm, with keys taken away and with a good one."""
+        """Ask each machine, in calm, with keys taken away and a good one."""
         job = SentJob('0' * 16, '', [])
         for address in self._addresses:
             for key, served in (
