--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -12,6 +12,7 @@
 #: Tenants told apart; the rest are counted together.
 _MAX_TENANTS = 200
 _OTHER = 'other'
+_TENANT = 'tenant'
 _WAIT_BUCKETS = (
     0.001,
     0.002,
@@ -65,21 +66,21 @@
         self.waiting = Histogram(
             'orchidrail_waiting_seconds',
             'From arrival to the start at a worker.',
-            ('tenant', 'class_name'),
+            (_TENANT, 'class_name'),
             buckets=_WAIT_BUCKETS,
             registry=self.registry,
         )
         self.running = Histogram(
             'orchidrail_running_seconds',
             'From the start at a worker to its answer.',
-            ('tenant', 'class_name'),
+            (_TENANT, 'class_name'),
             buckets=_WAIT_BUCKETS,
             registry=self.registry,
         )
         self.replies = Counter(
             'orchidrail_replies',
             'Replies to callers by verdict.',
-            ('tenant', 'class_name', 'verdict'),
+            (_TENANT, 'class_name', 'verdict'),
             registry=self.registry,
         )
         self.bundle_version = Gauge(
@@ -180,6 +181,7 @@
         """Register the metrics in a registry of their own."""
         self.registry = CollectorRegistry()
         self._cap = LabelCap(_MAX_TENANTS)
+        self._tenant_cap = LabelCap(_MAX_TENANTS)
         self.submissions = self._count(
             'submissions',
             'Submissions answered to callers, by queue and outcome.',
@@ -243,12 +245,14 @@
         )
         self.waiting = self._time(
             'first_start_seconds',
-            'From acceptance to the first placement, by queue.',
+            'From acceptance to the first placement, by tenant and queue.',
+            _TENANT,
             'queue',
         )
         self.finishing = self._time(
             'job_seconds',
-            'From acceptance to the end, by queue and final state.',
+            'From acceptance to the end, by tenant, queue and final state.',
+            _TENANT,
             'queue',
             'phase',
         )
@@ -272,6 +276,23 @@
             'Workers of the shard owned here, by standing.',
             'standing',
         )
+        self.tenant_running = self._gauge(
+            'tenant_running',
+            'What a tenant may have running, by tenant and resource.',
+            _TENANT,
+            'resource',
+        )
+        self.tenant_limit = self._gauge(
+            'tenant_limit',
+            'The most that a tenant may have running, 0 for no limit.',
+            _TENANT,
+            'resource',
+        )
+        self.tenant_waiting = self._gauge(
+            'tenant_waiting_jobs',
+            'Jobs of a tenant none of whose tasks has begun.',
+            _TENANT,
+        )
         self.waiting_tasks = self._gauge(
             'waiting_tasks',
             'Tasks of the shard owned here that could start now.',
@@ -281,6 +302,10 @@
         """Return the label for a queue."""
         return self._cap.label(name)
 
+    def tenant(self, name: str) -> str:
+        """Return the label for a tenant, empty for nobody in particular."""
+        return self._tenant_cap.label(name)
+
     def _count(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(
             f'orchidrail_{name}',
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -9,9 +9,9 @@
 import structlog
 
 from orchidrail.shard.advice_desk import AdviceDesk
-from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.due_times import DueTimes
 from orchidrail.shard.headroom import Headroom
+from orchidrail.shard.load_report import gauge_tenants, gauge_workers
 from orchidrail.shard.passes import Pass, Rooms, WaitingStep
 from orchidrail.shard.placing import Placement, choose_workers
 from orchidrail.shard.questions import TICKET_MARGIN, Questions
@@ -169,7 +169,8 @@
                 if waiting.step.startable()
             ]
             waiting_tasks = self.waiting_tasks()
-            self._gauge(every, now, waiting_tasks)
+            gauge_workers(state, waiting_tasks)
+            gauge_tenants(state)
             _log.info(
                 'shard load',
                 jobs=len(state.job_by_id),
@@ -190,19 +191,6 @@
             if any(map(self._state.lost, job.placed_on())):
                 job.waits.add(WaitReason.LOST_WORKER, _REPORT_EVERY)
 
-    def _gauge(
-        self,
-        every: list[WorkerBooks],
-        now: Seconds,
-        waiting_tasks: int,
-    ) -> None:
-        metrics = self._state.metrics
-        open_count = sum(books.open(now) for books in every)
-        metrics.workers.labels('open').set(open_count)
-        metrics.workers.labels('closed').set(len(every) - open_count)
-        metrics.waiting_tasks.set(waiting_tasks)
-        metrics.unconfirmed.set(self._state.writer.unconfirmed_for())
-
     def _refresh(self) -> None:
         wall = self._state.wall_clock()
         self._state.changed_jobs.update(self._due_times.take_due(wall))
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -115,7 +115,8 @@
         waited = self._state.wall_clock() - job.record.accepted_at
         metrics = self._state.metrics
         label = metrics.queue(job.queue.name)
-        metrics.waiting.labels(label).observe(max(0, waited))
+        tenant = metrics.tenant(job.tenant.name)
+        metrics.waiting.labels(tenant, label).observe(max(0, waited))
 
     def stop_job(self, job: Job) -> None:
         """Stop all that a job has placed anywhere."""
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -152,6 +152,7 @@
         """Count a job that has ended."""
         took = self.wall_clock() - job.record.accepted_at
         self.metrics.finishing.labels(
+            self.metrics.tenant(job.tenant.name),
             self.metrics.queue(job.queue.name),
             job.phase.name.lower(),
         ).observe(max(0, took))
