--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -13,6 +13,7 @@
 #: Lines that may explain what happened to any job at that time.
 _SURROUNDING = frozenset(
     (
+        'calls turned away',
         'configuration in force',
         'handing over',
         'nobody heard, letting go',
