--- a/orchidrail/shard/objections.py
+++ b/orchidrail/shard/objections.py
@@ -16,8 +16,10 @@
 _log = structlog.get_logger()
 #: Part of a service's room that stays free of what is beyond its tenant's
 #: share: work of others that comes next needs it, and a task that runs is not
-#: stopped for them.
-_SPARED = 0.1
+#: stopped for them. On modelled days of a tenant at six times its usual this
+#: costs the others nothing; a tenth costs them 0.011 and 0.014 of their worth
+#: (means of eight days), and 0.033 on the worst three.
+_SPARED = 0.2
 
 
 class Objection(NamedTuple):
@@ -95,19 +97,14 @@
         return True
 
     def _room_to_spare(self, queue: QueueSettings) -> bool:
-        """Whether what waits leaves enough of a service's room free."""
+        """Whether enough of a service's room is free."""
         free, whole = 0, 0
         now = self._state.clock()
         for books in self._state.books_by_worker.values():
             if books.entry.service == queue.service and books.open(now):
                 free += books.free.millicores
                 whole += books.entry.capacity.millicores
-        waiting = sum(
-            step.spec.size.millicores * len(step.startable())
-            for job in self._state.job_by_id.values()
-            for step in job.open_steps(self._state.wall_clock())
-        )
-        return free - waiting > whole * _SPARED
+        return free > whole * _SPARED
 
 
 def size_at_once(step: StepSpec) -> Size:
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -83,7 +83,7 @@
         find_tenant: FindTenant = unknown_tenant,
     ) -> None:
         """Start without jobs and workers."""
-        self.ledger = TenantLedger(find_tenant)
+        self.ledger = TenantLedger(find_tenant, clock)
         self.shares = Shares(clock)
         self.metrics = metrics
         metrics.epoch.set(writer.owner.epoch)
--- a/orchidrail/shard/tenant_ledger.py
+++ b/orchidrail/shard/tenant_ledger.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
 
-from orchidrail.types import TenantId
+from orchidrail.shard.fading_peak import FadingPeak
+from orchidrail.types import Seconds, TenantId
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.size import Size
 from orchidrail.work.tenant import Tenant
 
+#: Most of a tenant's limit that is ever kept for its urgent work, which has no
+#: time to wait until something ends: on modelled days of twenty tenants 0.016
+#: of the worth where the cell is near its limit, 0.004 where it isn't.
+_MOST_KEPT = 0.25
 FindTenant = Callable[[TenantId], Tenant | None]
 
 
@@ -22,11 +28,14 @@
 
     tenant: TenantId
     size: Size
+    #: Whether it is of a queue that goes before all others.
+    urgent: bool = False
 
 
 def holding_of(task: Task) -> Holding:
     """Return what a run of a task takes of its tenant's limit."""
-    return Holding(task.step.job.tenant.name, task.step.spec.size)
+    job = task.step.job
+    return Holding(job.tenant.name, task.step.spec.size, job.urgent)
 
 
 def unknown_tenant(name: TenantId) -> Tenant | None:
@@ -46,6 +55,8 @@
         Returns a tenant as the configuration in force has it, None if it has
         none of that name. What is left of such a tenant's work goes by its
         limit at the time when its jobs were accepted.
+    clock : callable
+        Monotonic seconds.
 
     Examples
     --------
@@ -56,10 +67,19 @@
     (1, 0)
     """
 
-    def __init__(self, find_tenant: FindTenant = unknown_tenant) -> None:
+    def __init__(
+        self,
+        find_tenant: FindTenant = unknown_tenant,
+        clock: Callable[[], Seconds] = float,
+    ) -> None:
         """Start with nothing running."""
         self.used_by_tenant: dict[TenantId, Size] = {}
         self._find_tenant = find_tenant
+        self._clock = clock
+        self._urgent_by_tenant: defaultdict[TenantId, Size] = defaultdict(Size)
+        self._peak_by_tenant: defaultdict[TenantId, _Peaks] = defaultdict(
+            _Peaks
+        )
 
     def current(self, tenant: Tenant) -> Tenant:
         """Return a tenant as it is now."""
@@ -69,16 +89,22 @@
 
     def take(self, holding: Holding) -> None:
         """Count a run."""
-        if holding.tenant:
-            self.used_by_tenant[holding.tenant] = (
-                self.used(holding.tenant) + holding.size
-            )
+        name = holding.tenant
+        if not name:
+            return
+        self.used_by_tenant[name] = self.used(name) + holding.size
+        if holding.urgent:
+            self._urgent_by_tenant[name] += holding.size
+            urgent = self._urgent_by_tenant[name]
+            self._peak_by_tenant[name].note(urgent, self._clock())
 
     def give_back(self, holding: Holding) -> None:
         """Take that a run which was counted has surely ended."""
         if not holding.tenant:
             return
         left = self.used(holding.tenant) - holding.size
+        if holding.urgent:
+            self._urgent_by_tenant[holding.tenant] -= holding.size
         if any(left):
             self.used_by_tenant[holding.tenant] = left
         else:
@@ -97,11 +123,50 @@
         return current.more_within(self.used(tenant.name), size)
 
     def allow(self, step: StepState, tasks: list[Task]) -> list[Task]:
-        """Return the tasks that the tenant's limit lets start; gangs whole."""
-        tenant = step.job.tenant
-        if not tenant.name:
+        """Return the tasks that the tenant's limit lets start; gangs whole.
+
+        Work that has time leaves of the limit what the tenant's urgent work
+        used at its last peak.
+        """
+        tenant = self.current(step.job.tenant)
+        if not tenant.limited:
             return tasks
-        more = self.more(tenant, step.spec.size)
+        used = self.used(tenant.name)
+        if not step.job.urgent:
+            used += self._kept_for_urgent(tenant)
+        more = tenant.more_within(used, step.spec.size)
         if step.spec.gang:
             return tasks if more >= len(tasks) else []
         return tasks[:more]
+
+    def _kept_for_urgent(self, tenant: Tenant) -> Size:
+        """Return what urgent work is about to use besides what it uses."""
+        peak = self._peak_by_tenant[tenant.name].at(self._clock())
+        now = self._urgent_by_tenant[tenant.name]
+        return Size(
+            *(
+                max(0, min(high, int(_MOST_KEPT * most)) - taken)
+                for high, most, taken in zip(
+                    peak,
+                    tenant.maximum,
+                    now,
+                    strict=True,
+                )
+            )
+        )
+
+
+class _Peaks:
+    """The last peak of each part of a size."""
+
+    def __init__(self) -> None:
+        self._peaks = tuple(FadingPeak() for _ in Size())
+
+    def note(self, size: Size, now: Seconds) -> None:
+        """Take what is used at this moment."""
+        for peak, part in zip(self._peaks, size, strict=True):
+            peak.note(part, now)
+
+    def at(self, now: Seconds) -> Size:
+        """Return what is left of the peaks."""
+        return Size(*(int(peak.at(now)) for peak in self._peaks))
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -64,7 +64,6 @@
 _SAMPLE_EVERY: Seconds = 0.25
 _WATCH_EVERY: Seconds = 0.01
 _TOPIC = Topic('workers')
-_MILLI = 1000
 
 _decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
 
@@ -200,12 +199,8 @@
         """Return a tenant as the owner knows it now."""
         now = asyncio.get_running_loop().time()
         weight_by_name = {one.name: one.weight for one in self._load.tenants}
-        cores = self.workers.limits.known_cores(name, now)
-        return Tenant(
-            name,
-            weight_by_name.get(name, 1),
-            Size(round(cores * _MILLI)),
-        )
+        maximum = self.workers.limits.known(name, now)
+        return Tenant(name, weight_by_name.get(name, 1), maximum)
 
     async def _watch(self, owner: ShardOwner) -> None:
         """Note each job's end, at most a hundredth of a second late."""
--- a/standins/model/tenants.py
+++ b/standins/model/tenants.py
@@ -27,7 +27,7 @@
         Of the day's usual jobs.
     weight : float
         Its share of the cell when all is full.
-    cores : float
+    cores, megabytes : float
         Most that it may have running, 0 for no limit.
     """
 
@@ -35,6 +35,7 @@
     share: float
     weight: float = 1
     cores: float = 0
+    megabytes: int = 0
 
 
 class HotSpell(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -88,29 +89,34 @@
     ) -> None:
         """Start with nothing running."""
         self._cores_by_tenant = {one.name: one.cores for one in tenants}
+        self._megabytes_by_tenant = {one.name: one.megabytes for one in tenants}
         self._changes = sorted(changes, key=lambda change: change.at)
         self._lead = lead
         self._used_by_tenant: defaultdict[str, Size] = defaultdict(Size)
         self.over = 0
-        #: The most that any tenant had running, as a share of its limit.
-        self.highest_share: float = 0
 
     def start(self, tenant: str, size: Size, now: Seconds) -> None:
         """Judge a start."""
         self._used_by_tenant[tenant] += size
         limit = self._highest(tenant, now) * _MILLI
-        if not limit:
-            return
-        used = self._used_by_tenant[tenant].millicores
-        self.highest_share = max(self.highest_share, used / limit)
-        self.over += used > limit * (1 + _OVERSHOOT) + size.millicores
+        used = self._used_by_tenant[tenant]
+        over = limit and _passes(used.millicores, limit, size.millicores)
+        megabytes = self._megabytes_by_tenant.get(tenant, 0)
+        if megabytes:
+            over = over or _passes(used.megabytes, megabytes, size.megabytes)
+        self.over += bool(over)
 
     def end(self, tenant: str, size: Size) -> None:
         """Take that a run is over."""
         self._used_by_tenant[tenant] -= size
 
-    def known_cores(self, tenant: str, now: Seconds) -> float:
+    def known(self, tenant: str, now: Seconds) -> Size:
         """Return the limit that the owner knows of."""
+        cores = self._known_cores(tenant, now)
+        megabytes = self._megabytes_by_tenant.get(tenant, 0)
+        return Size(round(cores * _MILLI), megabytes)
+
+    def _known_cores(self, tenant: str, now: Seconds) -> float:
         cores = self._cores_by_tenant.get(tenant, 0)
         for change in self._changes:
             heard_at = self._lead + change.at + change.heard_after
@@ -129,3 +135,8 @@
                 in_force.clear()
             in_force.append(change.cores)
         return 0 if 0 in in_force else max(in_force)
+
+
+def _passes(used: int, limit: float, task: int) -> bool:
+    """Whether a start of a task brings what runs past what is allowed."""
+    return used > limit * (1 + _OVERSHOOT) + task
--- a/standins/tests/test_tenants.py
+++ b/standins/tests/test_tenants.py
@@ -68,6 +68,9 @@
 
 #: Worth that the others of a hot tenant may lose, as the users ask.
 _COST = 0.02
+#: Worth of urgent jobs that are served while their tenant is at its limit:
+#: nine in ten, since the wide ones have time.
+_URGENT_SERVED = 0.9
 
 
 def _play(load: CellLoad, seed: int = 1) -> Outcome:
@@ -102,3 +105,19 @@
             without = [_play(calm, seed).by_tenant[name] for seed in (1, 2, 3)]
             beside = [_play(hot, seed).by_tenant[name] for seed in (1, 2, 3)]
             self.assertLessEqual(sum(without) / 3 - sum(beside) / 3, _COST)
+
+    def test_urgent_work_does_not_wait_behind_its_tenant_s_limit(self) -> None:
+        """A small tenant whose wide steps fill its limit for many seconds.
+
+        Seen on a quiet day: urgent jobs of one tenant waited 11 to 13 s behind
+        its own wide ones, which took each part of its limit that came free.
+        """
+        wide = msgspec.structs.replace(_MIDDLE, per_s=1.6)
+        load = msgspec.structs.replace(
+            _CELL,
+            queues=[msgspec.structs.replace(_URGENT, per_s=3), wide],
+            tenants=[TenantLoad('only', share=1, weight=10, cores=150)],
+        )
+        outcomes = [_play(load, seed) for seed in (1, 2, 3)]
+        urgent = [one.by_queue['urgent'].worth for one in outcomes]
+        self.assertGreater(sum(urgent) / 3, _URGENT_SERVED)
