--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -336,3 +336,10 @@
         self.assertEqual('10.1.0.13:7720', settings.peers)
         self.assertEqual(5, settings.bounds.longest_lease)
         self.assertEqual(1, settings.bounds.stop_takes)
+
+    def test_settings_say_how_strictly_keys_are_revoked(self) -> None:
+        for word, strict in (('true', True), ('false', False), ('', False)):
+            lines = f'bounds.strictRevocation={word}\nbounds.revocationMs=4500'
+            settings = documents.decode_settings(f'{_SETTINGS}\n{lines}')
+            self.assertIs(strict, settings.bounds.strict_revocation)
+            self.assertEqual(4.5, settings.bounds.revocation)
