A gang that needs most of its tenant's limit does not starve behind small tasks

Cause, read in the code: a gang over half of its tenant's limit fits only while little else of the tenant runs; small tasks of the same tenant, which use less than half, took each part that came free, and what is kept for urgent work could leave less than the gang needs for ever. Change: behind a gang over half of the limit no work of its tenant's starts that has time; nothing is kept from a step that would never fit beside it. Refusals beyond a share are told once a second a tenant.

--- a/orchidrail/shard/objections.py
+++ b/orchidrail/shard/objections.py
@@ -8,9 +8,8 @@
 
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.stored import StoredState
-from orchidrail.types import Seconds, WorkCode
-from orchidrail.work.model import JobSpec, QueueSettings, StepSpec
-from orchidrail.work.size import Size
+from orchidrail.types import Seconds, TenantId, WorkCode
+from orchidrail.work.model import JobSpec, QueueSettings, size_at_once
 from orchidrail.work.tenant import Tenant
 
 _log = structlog.get_logger()
@@ -20,6 +19,8 @@
 #: costs the others nothing; a tenth costs them 0.011 and 0.014 of their worth
 #: (means of eight days), and 0.033 on the worst three.
 _SPARED = 0.2
+#: Least time between two lines on a tenant's refusals, which may be hundreds.
+_TELL_EVERY: Seconds = 1.0
 
 
 class Objection(NamedTuple):
@@ -54,6 +55,8 @@
     def __init__(self, state: ShardState) -> None:
         """Go by the limits in force."""
         self._state = state
+        #: When the refusals of each tenant were told last, and how many since.
+        self._refused_by_tenant: dict[TenantId, tuple[Seconds, int]] = {}
 
     def find(
         self,
@@ -73,15 +76,26 @@
             return Objection(WorkCode.NEVER_FITS)
         owed_in = self._state.shares.owed_in(current)
         if owed_in and not self._room_to_spare(queue):
-            _log.info(
-                'job beyond its share refused',
-                tenant=current.name,
-                weight=current.weight,
-                owed_in=round(owed_in, 3),
-            )
+            self._tell_refused(current, owed_in)
             return Objection(WorkCode.BEYOND_SHARE, owed_in)
         return None
 
+    def _tell_refused(self, tenant: Tenant, owed_in: Seconds) -> None:
+        """Tell of refusals, at most each second for each tenant."""
+        now = self._state.clock()
+        told_at, untold = self._refused_by_tenant.get(tenant.name, (-1.0, 0))
+        if now - told_at < _TELL_EVERY:
+            self._refused_by_tenant[tenant.name] = told_at, untold + 1
+            return
+        self._refused_by_tenant[tenant.name] = now, 0
+        _log.info(
+            'jobs beyond their share refused',
+            tenant=tenant.name,
+            weight=tenant.weight,
+            count=untold + 1,
+            owed_in=round(owed_in, 3),
+        )
+
     def _fits(self, spec: JobSpec, current: Tenant) -> bool:
         for number, step in enumerate(spec.steps):
             at_once = size_at_once(step)
@@ -105,15 +119,3 @@
                 free += books.free.millicores
                 whole += books.entry.capacity.millicores
         return free > whole * _SPARED
-
-
-def size_at_once(step: StepSpec) -> Size:
-    """Return the least of a step that runs at one time.
-
-    Examples
-    --------
-    >>> size_at_once(StepSpec(3, Size(10, 5), gang=True))
-    Size(millicores=30, megabytes=15, accelerators=0)
-    """
-    count = step.count if step.gang else 1
-    return Size(*(count * part for part in step.size))
--- a/orchidrail/shard/passes.py
+++ b/orchidrail/shard/passes.py
@@ -13,7 +13,13 @@
 from orchidrail.shard.headroom import Headroom
 from orchidrail.shard.open_workers import OpenWorkers
 from orchidrail.shard.ranking import Timing
-from orchidrail.types import JobId, Seconds, ServiceName, WorkerId
+from orchidrail.types import (
+    JobId,
+    Seconds,
+    ServiceName,
+    TenantId,
+    WorkerId,
+)
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.size import Size
 from orchidrail.work.waits import WaitReason
@@ -164,6 +170,8 @@
         self._left_by_need: dict[tuple[ServiceName, str], int] = {}
         self._crowded_by_service: dict[ServiceName, bool] = {}
         self._earmarks = 0
+        #: Tenants of which a gang waits for most of their limit.
+        self.limits_kept: set[TenantId] = set()
 
     def left_for_others(self, step: StepState) -> int:
         """Return the millicores that are not kept for urgent work."""
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -112,7 +112,7 @@
     ) -> None:
         """Place what a step may start, or say what it waits for."""
         step = waiting.step
-        in_limit = self._state.ledger.allow(step, waiting.tasks)
+        in_limit = self._within_limit(waiting, this_pass)
         allowed = in_limit
         if waiting.timing.has_time(this_pass.wall):
             allowed = _leave_headroom(step, allowed, this_pass)
@@ -129,6 +129,25 @@
                 reason = WaitReason.LIMIT
             this_pass.reason_by_job[step.job.job_id] = reason
 
+    def _within_limit(
+        self,
+        waiting: WaitingStep,
+        this_pass: Pass,
+    ) -> list[Task]:
+        """Return the tasks that their tenant's limit lets start.
+
+        Work that has time does not go ahead of a gang of its tenant's that
+        needs most of the limit: it would never find that much free.
+        """
+        step = waiting.step
+        tenant = step.job.tenant.name
+        if tenant in this_pass.limits_kept and not step.job.urgent:
+            return []
+        in_limit = self._state.ledger.allow(step, waiting.tasks)
+        if not in_limit and self._state.ledger.needs_most(step):
+            this_pass.limits_kept.add(tenant)
+        return in_limit
+
     def _waits_for_journal(self, now: Seconds) -> bool:
         if self._state.writer.unconfirmed_for() < _JOURNAL_SILENT:
             return False
--- a/orchidrail/shard/tenant_ledger.py
+++ b/orchidrail/shard/tenant_ledger.py
@@ -9,6 +9,7 @@
 from orchidrail.shard.fading_peak import FadingPeak
 from orchidrail.types import Seconds, TenantId
 from orchidrail.work.job import StepState, Task
+from orchidrail.work.model import size_at_once
 from orchidrail.work.size import Size
 from orchidrail.work.tenant import Tenant
 
@@ -133,12 +134,30 @@
             return tasks
         used = self.used(tenant.name)
         if not step.job.urgent:
-            used += self._kept_for_urgent(tenant)
+            used += self._kept_beside(tenant, step)
         more = tenant.more_within(used, step.spec.size)
         if step.spec.gang:
             return tasks if more >= len(tasks) else []
         return tasks[:more]
 
+    def needs_most(self, step: StepState) -> bool:
+        """Whether what must start together is over half of its tenant's limit.
+
+        It finds room only while little else of its tenant runs, also where the
+        tenant uses less than half.
+        """
+        tenant = self.current(step.job.tenant)
+        if not tenant.limited:
+            return False
+        at_once = size_at_once(step.spec)
+        return tenant.more_within(Size(), at_once + at_once) == 0
+
+    def _kept_beside(self, tenant: Tenant, step: StepState) -> Size:
+        """Return what is kept from a step; nothing if it would never fit."""
+        kept = self._kept_for_urgent(tenant)
+        fits = tenant.more_within(kept, size_at_once(step.spec)) > 0
+        return kept if fits else Size()
+
     def _kept_for_urgent(self, tenant: Tenant) -> Size:
         """Return what urgent work is about to use besides what it uses."""
         peak = self._peak_by_tenant[tenant.name].at(self._clock())
--- a/orchidrail/work/model.py
+++ b/orchidrail/work/model.py
@@ -83,6 +83,18 @@
         )
 
 
+def size_at_once(step: StepSpec) -> Size:
+    """Return the least of a step that runs at one time.
+
+    Examples
+    --------
+    >>> size_at_once(StepSpec(3, Size(10, 5), gang=True))
+    Size(millicores=30, megabytes=15, accelerators=0)
+    """
+    count = step.count if step.gang else 1
+    return Size(*(count * part for part in step.size))
+
+
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
     """A job as its caller handed it in.
 
--- a/standins/tests/test_tenants.py
+++ b/standins/tests/test_tenants.py
@@ -121,3 +121,42 @@
         outcomes = [_play(load, seed) for seed in (1, 2, 3)]
         urgent = [one.by_queue['urgent'].worth for one in outcomes]
         self.assertGreater(sum(urgent) / 3, _URGENT_SERVED)
+
+    def test_a_gang_that_needs_most_of_a_limit_does_not_starve(self) -> None:
+        """A gang of four fifths of its tenant's limit, beside small tasks.
+
+        They use just under half of the limit, so the gang would wait for
+        ever though its tenant uses less than half of what it may.
+        """
+        gang = msgspec.structs.replace(
+            _MIDDLE,
+            name='gang',
+            per_s=0.3,
+            tasks=Draw(8),
+            cores=Draw(10),
+            work=Draw(1),
+            steps=1,
+            fails=0,
+            gang=1,
+            good=1,
+        )
+        small = msgspec.structs.replace(
+            _MIDDLE,
+            per_s=6,
+            tasks=Draw(2),
+            cores=Draw(2),
+            work=Draw(2),
+            steps=1,
+            fails=0,
+            good=1,
+        )
+        load = msgspec.structs.replace(
+            _CELL,
+            queues=[gang, small],
+            tenants=[TenantLoad('only', share=1, weight=10, cores=100)],
+        )
+        outcomes = [_play(load, seed) for seed in (1, 2, 3)]
+        gangs = [one.by_queue['gang'] for one in outcomes]
+        self.assertGreater(sum(one.jobs for one in gangs), 5)
+        self.assertEqual([0, 0, 0], [one.unfinished for one in gangs])
+        self.assertEqual([0, 0, 0], [one.late for one in gangs])
