Only a gang that its tenant's limit allows is waited for

Cause, found in reading: needs_most was true also of a gang above the limit, as one that was accepted before the limit fell is; everything of its tenant's that has time then waited behind it until the limit rose. Ruled out: refusing it as failed, which would lose an accepted job.

--- a/orchidrail/shard/tenant_ledger.py
+++ b/orchidrail/shard/tenant_ledger.py
@@ -144,13 +144,16 @@
         """Whether what must start together is over half of its tenant's limit.
 
         It finds room only while little else of its tenant runs, also where the
-        tenant uses less than half.
+        tenant uses less than half. One that a lowered limit does not allow at
+        all is none of these: nothing is to wait for it.
         """
         tenant = self.current(step.job.tenant)
         if not tenant.limited:
             return False
         at_once = size_at_once(step.spec)
-        return tenant.more_within(Size(), at_once + at_once) == 0
+        return tenant.ever_fits(at_once) and not tenant.ever_fits(
+            at_once + at_once
+        )
 
     def _kept_beside(self, tenant: Tenant, step: StepState) -> Size:
         """Return what is kept from a step; nothing if it would never fit."""
