--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -6,6 +6,7 @@
 import itertools
 import statistics
 import time
+from collections.abc import Iterator
 from contextlib import AsyncExitStack
 from functools import partial
 from random import Random
@@ -45,12 +46,17 @@
     judge_queues,
     judge_tenants,
 )
+from standins.model.lasting import CALM_AFTER, ROOM_FOR, LastingWatch
 from standins.model.liveness import LivenessWatch
 from standins.model.load import (
     LEAD,
     TRAFFIC_BEGINS,
+    Breakage,
     CellLoad,
+    Crashes,
     DrawnJob,
+    Outage,
+    Shrinkage,
     draw_jobs,
 )
 from standins.model.loop import run_in_virtual_time
@@ -115,6 +121,8 @@
         )
         self._ended_by_id: dict[str, EndedJob] = {}
         self.liveness = LivenessWatch()
+        self.lasting = LastingWatch(self.workers)
+        self._faults = sorted(_fault_spans(load))
         self._busy: list[float] = []
         self._idle_waiting: list[float] = []
 
@@ -139,6 +147,7 @@
                 self._harm(),
                 self._crash(),
                 self._shrink(),
+                self._break(),
             )
             for work in works:
                 stack.callback(asyncio.create_task(work).cancel)
@@ -194,6 +203,9 @@
         settings, tenant = drawn.queue.settings, self._find_tenant(drawn.tenant)
         if owner.objection(known, settings, drawn.spec, tenant) is None:
             await owner.submit(known, settings, drawn.spec, tenant=tenant)
+        if drawn.cancelled_after is not None:
+            await asyncio.sleep(drawn.cancelled_after)
+            await owner.cancel(known)
 
     def _find_tenant(self, name: TenantId) -> Tenant:
         """Return a tenant as the owner knows it now."""
@@ -220,7 +232,21 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_SAMPLE_EVERY)
-            self.liveness.look(owner, loop.time(), _wall_clock())
+            now = loop.time()
+            self.liveness.look(owner, now, _wall_clock())
+            open_jobs = [
+                (job_id, self._drawn_by_id[job_id])
+                for job_id, job in owner.state.job_by_id.items()
+                if job.accepted
+            ]
+            self.lasting.look(open_jobs, now, self._calm(now))
+
+    def _calm(self, now: Seconds) -> bool:
+        """Whether no fault of the day acts now or did of late."""
+        return not any(
+            begins <= now < ends + CALM_AFTER + ROOM_FOR
+            for begins, ends in self._faults
+        )
 
     async def _sample(self, owner: ShardOwner) -> None:
         await asyncio.sleep(LEAD)
@@ -260,9 +286,19 @@
             await asyncio.sleep(max(0, LEAD + shrinkage.at - loop.time()))
             self.workers.shrink_some(shrinkage)
 
+    async def _break(self) -> None:
+        loop = asyncio.get_running_loop()
+        for breakage in self._load.breakages:
+            await asyncio.sleep(max(0, LEAD + breakage.at - loop.time()))
+            until = LEAD + breakage.at + breakage.lasts
+            self.workers.break_some(breakage.share, until)
+
     def _judge(self, processor_s: Seconds) -> Outcome:
         jobs = [
-            self._ended_by_id.get(job_id, EndedJob(drawn, None, None))
+            self._ended_by_id.get(
+                job_id,
+                EndedJob(drawn, None, None),
+            )._replace(at_work=self.lasting.share_at_work(JobId(job_id)))
             for job_id, drawn in self._drawn_by_id.items()
         ]
         return Outcome(
@@ -278,10 +314,24 @@
             judge_crashes(jobs, self.workers),
             judge_tenants(jobs),
             self.workers.limits.over,
+            len(self.lasting.left_waiting),
             round(processor_s, 2),
         )
 
 
+def _fault_spans(load: CellLoad) -> Iterator[tuple[Seconds, Seconds]]:
+    """Yield when each fault of a day begins and ends, on the loop's clock."""
+    faults: tuple[Outage | Crashes | Shrinkage | Breakage, ...] = (
+        *load.outages,
+        *load.crashes,
+        *load.shrinkages,
+        *load.breakages,
+    )
+    for fault in faults:
+        begins = LEAD + fault.at
+        yield begins, begins + fault.lasts
+
+
 def _publish(
     store: MemoryStore,
     name: WorkerName,
--- a/standins/model/experiment.py
+++ b/standins/model/experiment.py
@@ -71,7 +71,8 @@
             '\n'.join(queues),
             str(one.busy_share),
             str(one.idle_waiting_share),
-            f'{one.overfull}+{one.doubled}+{one.refused_tickets}',
+            f'{one.overfull}+{one.doubled}+{one.refused_tickets}, '
+            f'{one.left_waiting} left waiting',
             _show_crashes(one.crashes),
             str(one.processor_s),
         )
--- a/standins/model/judging.py
+++ b/standins/model/judging.py
@@ -19,11 +19,19 @@
 
 
 class EndedJob(NamedTuple):
-    """A job and how it ended; `took` is None if it did not end that day."""
+    """A job and how it ended; `took` is None if it did not end that day.
+
+    Parameters
+    ----------
+    at_work : float, optional
+        Share of its time that its tasks were at work; None for a job whose
+        tasks end by themselves.
+    """
 
     drawn: DrawnJob
     phase: JobPhase | None
     took: Seconds | None
+    at_work: float | None = None
 
     @property
     def in_time(self) -> bool:
@@ -32,7 +40,12 @@
 
     @property
     def lateness(self) -> float:
-        """Time taken as a share of the objective, infinite if not done."""
+        """Time taken as a share of the objective, infinite if not done.
+
+        A job whose tasks last is never done; it is in time if it ever worked.
+        """
+        if self.at_work is not None:
+            return 0 if self.at_work else float('inf')
         if self.took is None or self.phase is not JobPhase.COMPLETED:
             return float('inf')
         return self.took / self.drawn.objective
@@ -40,6 +53,8 @@
     @property
     def earned(self) -> float:
         """What the job was worth in the end."""
+        if self.at_work is not None:
+            return self.at_work * self.drawn.worth
         if self.in_time:
             return self.drawn.worth
         late = self.lateness <= _USELESS_AFTER
@@ -115,6 +130,8 @@
         Earned by each tenant as a share of what it is owed: its usual jobs.
     over_limit : int
         Starts past what a tenant may have running.
+    left_waiting : int
+        Tasks that last, and were not started again though they had room.
     """
 
     worth: float
@@ -129,6 +146,7 @@
     crashes: CrashOutcome
     by_tenant: dict[str, float]
     over_limit: int
+    left_waiting: int
     processor_s: Seconds
 
 
--- /dev/null
+++ b/standins/model/lasting.py
@@ -0,0 +1,154 @@
+"""Whether tasks that last are at work, watched while a day is played.
+
+It goes by what runs at the workers, not by what the owner knows; bounds are
+those by which the users judge.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from orchidrail.types import JobId, Seconds, TaskKey
+from orchidrail.work.model import StepSpec
+from orchidrail.work.size import Size
+from standins.model.load import DrawnJob
+from standins.model.worker import ModelWorker
+from standins.model.workers import ModelWorkers, approved
+
+#: How long a task that lasts may be away after its last run.
+MOST_AWAY: Seconds = 6.0
+#: For how long there must be room for it then, and nothing else go wrong.
+ROOM_FOR: Seconds = 3.0
+#: How long a fault tells on the moments after it.
+CALM_AFTER: Seconds = 4.0
+#: Room for a task must be there as many times.
+_TIMES_OVER = 2
+
+
+class LeftWaiting(NamedTuple):
+    """A task that lasts, and was not started again though it had room."""
+
+    task: TaskKey
+    away: Seconds
+
+
+class LastingWatch:
+    """Follows the tasks that last, by job.
+
+    Parameters
+    ----------
+    workers : ModelWorkers
+    """
+
+    def __init__(self, workers: ModelWorkers) -> None:
+        """Start with nothing seen."""
+        self.left_waiting: list[LeftWaiting] = []
+        #: Samples of tasks at work, and of all that should be, by job.
+        self._worked_by_job: dict[JobId, int] = {}
+        self._owed_by_job: dict[JobId, int] = {}
+        self._workers = workers
+        self._seen_at_by_task: dict[TaskKey, Seconds] = {}
+        self._room_since_by_task: dict[TaskKey, Seconds] = {}
+        self._told: set[TaskKey] = set()
+
+    def look(
+        self,
+        open_jobs: Iterable[tuple[JobId, DrawnJob]],
+        now: Seconds,
+        calm: bool,
+    ) -> None:
+        """Take what is at work now, of jobs that are to be.
+
+        Parameters
+        ----------
+        open_jobs : iterable of (str, DrawnJob)
+            Accepted jobs that nobody has cancelled.
+        calm : bool
+            Whether no fault acts, or acted a while ago.
+        """
+        for job_id, drawn in open_jobs:
+            if drawn.queue.stays is None:
+                continue
+            for task, spec in _tasks(job_id, drawn):
+                self._owed_by_job[job_id] = self._owed_by_job.get(job_id, 0) + 1
+                if self._workers.runs(task):
+                    self._note_at_work(job_id, task, now)
+                else:
+                    self._note_away(drawn, task, spec, now, calm)
+
+    def share_at_work(self, job_id: JobId) -> float | None:
+        """Return the share of a job's time that its tasks were at work."""
+        owed = self._owed_by_job.get(job_id)
+        return self._worked_by_job.get(job_id, 0) / owed if owed else None
+
+    def _note_at_work(
+        self,
+        job_id: JobId,
+        task: TaskKey,
+        now: Seconds,
+    ) -> None:
+        self._worked_by_job[job_id] = self._worked_by_job.get(job_id, 0) + 1
+        self._seen_at_by_task[task] = now
+        self._room_since_by_task.pop(task, None)
+        self._told.discard(task)
+
+    def _note_away(
+        self,
+        drawn: DrawnJob,
+        task: TaskKey,
+        spec: StepSpec,
+        now: Seconds,
+        calm: bool,
+    ) -> None:
+        away = now - self._seen_at_by_task.get(task, now)
+        step_key = task.rpartition('.')[0]
+        roomy = calm and away > MOST_AWAY
+        if not roomy or self._rooms(drawn, step_key, spec) < _TIMES_OVER:
+            self._room_since_by_task.pop(task, None)
+            return
+        since = self._room_since_by_task.setdefault(task, now)
+        if now - since > ROOM_FOR and task not in self._told:
+            self._told.add(task)
+            self.left_waiting.append(LeftWaiting(task, away))
+
+    def _rooms(self, drawn: DrawnJob, step_key: str, spec: StepSpec) -> int:
+        """Return how many tasks of a step the workers could take now."""
+        rooms = 0
+        for worker in self._workers.by_name.values():
+            if worker.over:
+                continue
+            permitted = drawn.queue.advice is None or approved(
+                step_key,
+                worker.entry.worker,
+                drawn.queue.good,
+            )
+            if permitted:
+                rooms += self._copies(worker, step_key, spec)
+        return rooms
+
+    def _copies(
+        self,
+        worker: ModelWorker,
+        step_key: str,
+        spec: StepSpec,
+    ) -> int:
+        free, beside = worker.entry.capacity, 0
+        for run in worker.run_by_key:
+            free -= self._workers.size_of(run)
+            beside += run.task.rpartition('.')[0] == step_key
+        if min(free) < 0:
+            return 0
+        fitting = max(0, spec.charged.times_in(Size(*free)))
+        if not spec.most_per_worker:
+            return fitting
+        return max(0, min(fitting, spec.most_per_worker - beside))
+
+
+def _tasks(
+    job_id: JobId,
+    drawn: DrawnJob,
+) -> Iterator[tuple[TaskKey, StepSpec]]:
+    for number, spec in enumerate(drawn.spec.steps):
+        for index in range(spec.count):
+            yield TaskKey(f'{job_id}.0.{number}.{index}'), spec
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -35,6 +35,8 @@
 _MOST_WORTH = 4
 #: Part of a job's worth that does not depend on its size.
 _FLAT_WORTH = 0.3
+#: What the answers of a task that serves are to take at the most.
+_TARGET: Seconds = 0.1
 #: Workers in the call for advice that an objective allows for.
 _ADVICE_ALLOWED = 30
 
@@ -87,6 +89,14 @@
         Share of the workers that may run a step, where advice has a cost.
     rounds, every : int, float
         Rounds of timed jobs, and seconds between them; 0 for other jobs.
+    stays : Draw, optional
+        Seconds after which a job whose tasks last is cancelled; None for jobs
+        that end by themselves. A run that fails does so within its `work`.
+    serves : bool
+        Whether tasks that last have a target for their answers' times, so that
+        none that fills may be beside them.
+    fills : float
+        Share of steps whose tasks use the processor time that others leave.
     """
 
     name: str
@@ -111,6 +121,9 @@
     attempts: int = 3
     rounds: int = 0
     every: Seconds = 0
+    stays: Draw | None = None
+    serves: bool = False
+    fills: float = 0
 
     @property
     def settings(self) -> QueueSettings:
@@ -167,6 +180,14 @@
     returns: list[Seconds] = []
 
 
+class Breakage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A share of the workers fails all that it starts for a while."""
+
+    at: Seconds
+    lasts: Seconds
+    share: float
+
+
 class Shrinkage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A share of the workers has only part of its room for a while."""
 
@@ -215,6 +236,7 @@
     outages: list[Outage] = []
     crashes: list[Crashes] = []
     shrinkages: list[Shrinkage] = []
+    breakages: list[Breakage] = []
     append_takes: Seconds = 0
     late_share: float = 0
     tenants: list[TenantLoad] = []
@@ -238,6 +260,8 @@
     tenant: TenantId = TenantId('')
     #: Whether it is of a spell in which its tenant sends more than its usual.
     extra: bool = False
+    #: Seconds after its arrival at which it is cancelled; None if it isn't.
+    cancelled_after: Seconds | None = None
 
 
 def read_load(path: str) -> CellLoad:
@@ -328,6 +352,7 @@
         _draw_crashing(queue, work, random),
         queue.stretch * chain + queue.target + queue.rounds * queue.every,
         _worth(queue, steps, work),
+        cancelled_after=queue.stays.draw(random) if queue.stays else None,
     )
 
 
@@ -379,6 +404,10 @@
         after=(number - 1,) if number else (),
         gang=random.random() < queue.gang,
         most_per_worker=int(random.random() < queue.apart),
+        lasting=queue.stays is not None,
+        target=_TARGET if queue.serves else 0,
+        # The days of other seeds stay as they are.
+        fills=bool(queue.fills) and random.random() < queue.fills,
     )
     spread = 0 if step.gang else queue.work.spread / 2
     return step, [Draw(mean, spread).draw(random) for _ in range(tasks)]
--- a/standins/model/worker.py
+++ b/standins/model/worker.py
@@ -24,7 +24,15 @@
 
 
 class ModelRun:
-    """One run on a worker."""
+    """One run on a worker.
+
+    Parameters
+    ----------
+    key : RunKey
+    began : float
+    takes : float
+        Seconds until it ends by itself; infinite for one that lasts.
+    """
 
     def __init__(self, key: RunKey, began: Seconds, takes: Seconds) -> None:
         """Begin now; the worker that has it ends it."""
@@ -33,6 +41,12 @@
         self.takes = takes
         self.timer: asyncio.TimerHandle | None = None
 
+    def percent(self, now: Seconds) -> float:
+        """Return how much of it is done; one that lasts is at work at once."""
+        if math.isinf(self.takes):
+            return _WHOLE
+        return _WHOLE * (now - self.began) / self.takes
+
 
 class ModelWorker:
     """One life of a worker: its runs, ends, lease, fence and clock.
@@ -56,6 +70,8 @@
         self.entry = entry
         self.slowness = slowness
         self.silent_until: Seconds = 0
+        #: Until when all fails that it starts.
+        self.broken_until: Seconds = 0
         self.run_by_key: dict[RunKey, ModelRun] = {}
         self.ended: list[EndedRun] = []
         self.changed = asyncio.Event()
@@ -147,7 +163,7 @@
     def listing(self, now: Seconds) -> Listing:
         """Return what runs and the ends that were not forgotten."""
         active = [
-            ActiveRun(run.key, '', _WHOLE * (now - run.began) / run.takes)
+            ActiveRun(run.key, '', run.percent(now))
             for run in self.run_by_key.values()
         ]
         clock = self.clock(now)
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import zlib
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -257,6 +258,11 @@
         for worker in self._random.sample(list(self.by_name.values()), count):
             worker.silent_until = until
 
+    def break_some(self, share: float, until: Seconds) -> None:
+        """Let a share of the workers fail all that they start for a while."""
+        for address in self.choose_some(share):
+            self._current_by_address[address].broken_until = until
+
     async def start(
         self,
         entry: WorkerEntry,
@@ -327,19 +333,7 @@
             self._judge(worker, order.key)
         self.limits.start(job.tenant, job.spec.steps[step].size, now)
         takes = job.work[step][index] * worker.slowness
-        ending = RunEnding.DONE
-        if self._random.random() < job.queue.fails:
-            ending = RunEnding.FAILED
-            takes *= self._random.random()
-        run = ModelRun(order.key, now, takes)
-        worker.run_by_key[order.key] = run
-        run.timer = asyncio.get_running_loop().call_later(
-            takes,
-            self._end,
-            worker,
-            order.key,
-            ending,
-        )
+        self._begin(worker, order.key, job, takes)
         if (step, index) in job.crashing:
             asyncio.get_running_loop().call_later(
                 min(takes, job.queue.crashes_after),
@@ -349,6 +343,33 @@
             )
         return OrderAnswer(OrderResult.TAKEN, clock)
 
+    def _begin(
+        self,
+        worker: ModelWorker,
+        key: RunKey,
+        job: DrawnJob,
+        takes: Seconds,
+    ) -> None:
+        """Begin a run; one that lasts ends by itself only if it fails."""
+        now = _now()
+        ending = RunEnding.DONE
+        broken = now < worker.broken_until
+        if broken or self._random.random() < job.queue.fails:
+            ending = RunEnding.FAILED
+            takes *= self._random.random()
+        elif job.queue.stays is not None:
+            takes = math.inf
+        run = ModelRun(key, now, takes)
+        worker.run_by_key[key] = run
+        if math.isfinite(takes):
+            run.timer = asyncio.get_running_loop().call_later(
+                takes,
+                self._end,
+                worker,
+                key,
+                ending,
+            )
+
     async def stop(
         self,
         entry: WorkerEntry,
@@ -411,10 +432,19 @@
         tickets = {
             worker: str(until)
             for worker in workers
-            if _approved(step_key, worker, queue.good)
+            if approved(step_key, worker, queue.good)
         }
         return Advice(tickets, valid)
 
+    def runs(self, task: TaskKey) -> bool:
+        """Whether a task runs anywhere."""
+        return task in self._where_by_task
+
+    def size_of(self, key: RunKey) -> Size:
+        """Return the room that a run takes from its worker."""
+        job, step, _ = self._drawn(key)
+        return job.spec.steps[step].charged
+
     def _drawn(self, key: RunKey) -> tuple[DrawnJob, int, int]:
         job_id, _, step, index = key.task.split('.')
         return self._find_job(job_id), int(step), int(index)
@@ -444,10 +474,8 @@
         self._where_by_task[key.task] = worker.entry.worker
         if self.crashes_by_task[key.task] >= _CRASHES_ALLOWED:
             self.late_starts_by_task[key.task] += 1
-        used = Size()
-        for run in (*worker.run_by_key, key):
-            job, step, _ = self._drawn(run)
-            used += job.spec.steps[step].size
+        sizes = map(self.size_of, (*worker.run_by_key, key))
+        used = sum(sizes, Size())
         now = asyncio.get_running_loop().time()
         judged = now - worker.room_since > _ROOM_HEARD_WITHIN
         if judged and not used.fits(worker.entry.capacity):
@@ -475,7 +503,7 @@
     )
 
 
-def _approved(step_key: str, worker: WorkerId, good: float) -> bool:
+def approved(step_key: str, worker: WorkerId, good: float) -> bool:
     """Whether a worker may run a step; this never changes."""
     digest = zlib.crc32(f'{step_key}/{worker}'.encode())
     return digest % 1000 < good * 1000
