--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -13,6 +13,7 @@
 _MAX_TENANTS = 200
 _OTHER = 'other'
 _TENANT = 'tenant'
+_QUEUE = 'queue'
 _WAIT_BUCKETS = (
     0.001,
     0.002,
@@ -185,7 +186,7 @@
         self.submissions = self._count(
             'submissions',
             'Submissions answered to callers, by queue and outcome.',
-            'queue',
+            _QUEUE,
             'outcome',
         )
         self.turned_away = self._count(
@@ -201,7 +202,7 @@
         self.endings = self._count(
             'runs_ended',
             'Runs that ended, by queue and how.',
-            'queue',
+            _QUEUE,
             'ending',
         )
         self.bad_entries = self._count(
@@ -218,7 +219,7 @@
             'task_crashes',
             'Runs under which a worker ended, by queue and what became of '
             'their task.',
-            'queue',
+            _QUEUE,
             'outcome',
         )
         self.worker_ends = self._count(
@@ -241,19 +242,26 @@
         self.accepting = self._time(
             'accepting_seconds',
             'From a submission to its answer, by queue.',
-            'queue',
+            _QUEUE,
         )
         self.waiting = self._time(
             'first_start_seconds',
             'From acceptance to the first placement, by tenant and queue.',
             _TENANT,
-            'queue',
+            _QUEUE,
+        )
+        self.task_waiting = self._time(
+            'task_waiting_seconds',
+            'From the moment at which a task may start, the first time or '
+            'again, to its placement, by tenant and queue.',
+            _TENANT,
+            _QUEUE,
         )
         self.finishing = self._time(
             'job_seconds',
             'From acceptance to the end, by tenant, queue and final state.',
             _TENANT,
-            'queue',
+            _QUEUE,
             'phase',
         )
         self.taking_over = self._time(
@@ -293,6 +301,11 @@
             'Jobs of a tenant none of whose tasks has begun.',
             _TENANT,
         )
+        self.longest_wait = self._gauge(
+            'longest_task_wait_seconds',
+            'Longest time for which a task whose turn has come waits now.',
+            _QUEUE,
+        )
         self.waiting_tasks = self._gauge(
             'waiting_tasks',
             'Tasks of the shard owned here that could start now.',
--- /dev/null
+++ b/orchidrail/shard/long_waits.py
@@ -0,0 +1,132 @@
+"""Tells of tasks that have waited for long, and what keeps workers from them.
+
+A job that lasts is never over, so what its tasks wait for is told meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import structlog
+
+from orchidrail.shard.obstacles import count_obstacles
+from orchidrail.shard.state import ShardState
+from orchidrail.types import JobId, QueueName, Seconds, WorkerId
+from orchidrail.work.job import StepState
+from orchidrail.work.waits import WaitReason
+
+_log = structlog.get_logger()
+#: Waits below this are usual where advice is needed.
+_LONG: Seconds = 2.0
+#: A step's wait is told again after this long.
+_TOLD_EVERY: Seconds = 4.0
+#: Steps told of at one time, those that have waited longest.
+_MOST_TOLD = 10
+
+
+class LongWait(NamedTuple):
+    """A step some tasks of which have waited for long."""
+
+    step: StepState
+    seconds: Seconds
+    tasks: int
+
+
+class LongWaits:
+    """Follows the waits of a shard's steps.
+
+    Parameters
+    ----------
+    state : ShardState
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        """Start with nothing told."""
+        self._state = state
+        self._told_at_by_step: dict[str, Seconds] = {}
+
+    def report(
+        self,
+        steps: list[StepState],
+        kept: frozenset[WorkerId],
+        reason_of: dict[JobId, WaitReason],
+    ) -> None:
+        """Log the longest waits and set the gauges.
+
+        Parameters
+        ----------
+        steps : list of StepState
+            All that have tasks whose turn has come.
+        kept : frozenset of str
+            Workers that were kept for some step in the last pass.
+        reason_of : dict of JobId to WaitReason
+            What the jobs wait for, by id.
+        """
+        now = self._state.clock()
+        waits = [_wait_of(step, now) for step in steps]
+        self._gauge(waits)
+        long = sorted(
+            (wait for wait in waits if wait.seconds >= _LONG),
+            key=lambda wait: -wait.seconds,
+        )
+        due = [wait for wait in long if self._is_due(wait.step, now)]
+        for wait in due[:_MOST_TOLD]:
+            self._told_at_by_step[wait.step.key] = now
+            self._tell(wait, kept, reason_of)
+        still = {wait.step.key for wait in long}
+        for key in self._told_at_by_step.keys() - still:
+            self._told_at_by_step.pop(key)
+
+    def _is_due(self, step: StepState, now: Seconds) -> bool:
+        told_at = self._told_at_by_step.get(step.key)
+        return told_at is None or now - told_at >= _TOLD_EVERY
+
+    def _tell(
+        self,
+        wait: LongWait,
+        kept: frozenset[WorkerId],
+        reason_of: dict[JobId, WaitReason],
+    ) -> None:
+        step = wait.step
+        counts = count_obstacles(
+            step,
+            self._state.books_by_worker.values(),
+            kept,
+            self._state.clock(),
+        )
+        reason = reason_of.get(step.job.job_id)
+        _log.info(
+            'tasks wait',
+            job=step.job.job_id,
+            step=step.key,
+            queue=step.job.queue.name,
+            tasks=wait.tasks,
+            seconds=round(wait.seconds, 3),
+            reason=reason.value if reason else '',
+            asking=step.permits.asking,
+            workers={
+                obstacle.value: count
+                for obstacle, count in counts.most_common()
+            },
+        )
+
+    def _gauge(self, waits: Iterable[LongWait]) -> None:
+        """Set the longest wait of each queue, 0 where nothing waits."""
+        longest_by_queue: dict[QueueName, Seconds] = defaultdict(float)
+        for job in self._state.job_by_id.values():
+            longest_by_queue[job.queue.name] = 0
+        for wait in waits:
+            name = wait.step.job.queue.name
+            longest = max(longest_by_queue[name], wait.seconds)
+            longest_by_queue[name] = longest
+        metrics = self._state.metrics
+        for name, seconds in longest_by_queue.items():
+            metrics.longest_wait.labels(metrics.queue(name)).set(seconds)
+
+
+def _wait_of(step: StepState, now: Seconds) -> LongWait:
+    tasks = step.startable()
+    since = [task.waits_since for task in tasks if task.waits_since is not None]
+    return LongWait(step, now - min(since, default=now), len(tasks))
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -12,13 +12,14 @@
 from orchidrail.shard.due_times import DueTimes
 from orchidrail.shard.headroom import Headroom
 from orchidrail.shard.load_report import gauge_tenants, gauge_workers
+from orchidrail.shard.long_waits import LongWaits
 from orchidrail.shard.passes import Pass, Rooms, WaitingStep
 from orchidrail.shard.placing import Placement, choose_workers
 from orchidrail.shard.questions import TICKET_MARGIN, Questions
 from orchidrail.shard.ranking import Rank, time_step
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
-from orchidrail.types import JobId, Seconds
+from orchidrail.types import JobId, Seconds, WorkerId
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.waits import WaitReason
 
@@ -61,6 +62,10 @@
         self._waiting_by_job: dict[JobId, list[WaitingStep]] = {}
         self._rooms = Rooms()
         self._due_times = DueTimes()
+        self._long_waits = LongWaits(state)
+        #: Of the last pass: workers kept for some step, and what jobs wait for.
+        self._kept: frozenset[WorkerId] = frozenset()
+        self._reason_by_job: dict[JobId, WaitReason] = {}
 
     async def run(self) -> None:
         """Place whenever something has changed."""
@@ -102,6 +107,7 @@
         for rank, waiting in ranked:
             self._look_at(rank, waiting, this_pass)
         self._rooms.note(open_books)
+        self._kept = this_pass.workers.kept
         self._note_waits(this_pass.reason_by_job, now)
 
     def _look_at(
@@ -160,6 +166,7 @@
         reason_by_job: dict[JobId, WaitReason],
         now: Seconds,
     ) -> None:
+        self._reason_by_job = reason_by_job
         for job_id in self._waiting_by_job:
             job = self._state.job_by_id.get(job_id)
             if job is not None:
@@ -190,6 +197,7 @@
             waiting_tasks = self.waiting_tasks()
             gauge_workers(state, waiting_tasks)
             gauge_tenants(state)
+            self._long_waits.report(steps, self._kept, self._reason_by_job)
             _log.info(
                 'shard load',
                 jobs=len(state.job_by_id),
@@ -227,9 +235,18 @@
                 for step, tasks in startable
                 if tasks
             ]
+            self._note_turns(job_id)
             self._due_times.note(job, wall)
         self._state.changed_jobs.clear()
 
+    def _note_turns(self, job_id: JobId) -> None:
+        """Note since when tasks could be placed."""
+        now = self._state.clock()
+        for waiting in self._waiting_by_job[job_id]:
+            for task in waiting.tasks:
+                if task.waits_since is None:
+                    task.waits_since = now
+
     def _place_step(
         self,
         rank: Rank,
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -96,6 +96,7 @@
         """Place runs and order their starts once the journal has them."""
         if not step.job.begun:
             self._note_wait(step.job)
+        self._note_task_waits(step.job, chosen)
         run = step.next_run([placement.task for placement in chosen])
         placed = [self._place(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
@@ -119,6 +120,17 @@
         tenant = metrics.tenant(job.tenant.name)
         metrics.waiting.labels(tenant, label).observe(max(0, waited))
 
+    def _note_task_waits(self, job: Job, chosen: list[Placement]) -> None:
+        now = self._state.clock()
+        metrics = self._state.metrics
+        waiting = metrics.task_waiting.labels(
+            metrics.tenant(job.tenant.name),
+            metrics.queue(job.queue.name),
+        )
+        for placement in chosen:
+            since = placement.task.waits_since
+            waiting.observe(0 if since is None else now - since)
+
     def stop_job(self, job: Job) -> None:
         """Stop all that a job has placed anywhere."""
         for books, run in self._runs_of(job):
--- a/orchidrail/shard/tests/test_open_workers.py
+++ b/orchidrail/shard/tests/test_open_workers.py
@@ -17,13 +17,13 @@
 _COST = AdviceCost(0.5, 0.01, 1.5)
 
 
-def _fill(books: WorkerBooks, cores: int) -> None:
+def fill(books: WorkerBooks, cores: int) -> None:
     """Take room of a worker."""
     key = RunKey(TaskKey('j.0.0.0'), RunNumber(len(books.run_by_key) + 1))
     books.charge(PlacedRun(key, Size(cores * 1000), None, 0), 'j.0.0')
 
 
-def _advised(spec: StepSpec, *good: str) -> StepState:
+def advised(spec: StepSpec, *good: str) -> StepState:
     """Return a step that only some workers may run."""
     step = make_step(spec)
     record = step.job.record
@@ -52,7 +52,7 @@
         super().setUp()
         self.books = [make_books(name, cores=8) for name in 'abcd']
         for cores, books in enumerate(self.books):
-            _fill(books, 2 * cores)
+            fill(books, 2 * cores)
 
     def test_workers_with_too_little_room_are_passed_over(self) -> None:
         workers = OpenWorkers(self.books)
@@ -61,7 +61,7 @@
 
     def test_room_that_went_in_the_same_pass_counts(self) -> None:
         workers = OpenWorkers(self.books)
-        _fill(self.books[0], 8)
+        fill(self.books[0], 8)
         step = make_step(StepSpec(1, Size(4000)))
         self.assertEqual(['c', 'b'], _names(workers.with_room(step)))
 
@@ -75,7 +75,7 @@
         self,
     ) -> None:
         workers = OpenWorkers(self.books)
-        step = _advised(StepSpec(1, Size(4000)), 'a', 'd')
+        step = advised(StepSpec(1, Size(4000)), 'a', 'd')
         self.assertEqual(['a'], _names(workers.with_room(step)))
         self.assertEqual(['b', 'c'], _names(workers.unknown(step)))
         self.assertEqual(['a', 'd'], _names(workers.good_for(step)))
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -7,12 +7,14 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+from structlog.testing import capture_logs
 
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.long_waits import LongWaits
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
@@ -33,6 +35,7 @@
 from orchidrail.work.records import TaskPhase
 from orchidrail.work.size import Size
 from orchidrail.work.tests.test_job import make_job
+from orchidrail.work.waits import WaitReason
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import Advice
 from orchidrail.workers.session import WorkerSession
@@ -223,6 +226,36 @@
 
         self.play(scene)
 
+    def test_a_task_that_waits_for_long_is_told_with_its_reasons(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            spec = StepSpec(3, Size(1000), lasting=True, most_per_worker=1)
+            job = _make_job('a' * 16, spec, 1, advice=False)
+            shard.add(job)
+            await asyncio.sleep(_SOON)
+            waits = LongWaits(shard.state)
+            step = job.steps(0)[0]
+            reason_by_job = {job.job_id: WaitReason.ROOM}
+            with capture_logs() as lines:
+                waits.report([step], frozenset(), reason_by_job)
+                shard.state.clock = lambda: time.monotonic() + 3
+                for _ in range(2):
+                    waits.report([step], frozenset(), reason_by_job)
+            told = [line for line in lines if line['event'] == 'tasks wait']
+            self.assertEqual(
+                [(2, 'room')],
+                [(line['tasks'], line['reason']) for line in told],
+            )
+            self.assertEqual({'copies': 1}, told[0]['workers'])
+            self.assertGreaterEqual(told[0]['seconds'], 3)
+            waiting = shard.state.metrics.registry.get_sample_value(
+                'orchidrail_longest_task_wait_seconds',
+                {'queue': job.queue.name},
+            )
+            self.assertGreaterEqual(waiting, 3)
+
+        self.play(scene)
+
     def test_a_backlog_asks_for_no_more_than_the_lanes_can_take(self) -> None:
         """After a loss of power, hundreds of steps wait for advice at once."""
 
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -48,6 +48,7 @@
         'settled_runs',
         'step',
         'suspicion',
+        'waits_since',
         'worker',
     )
 
@@ -65,6 +66,8 @@
         self.suspicion = 0
         #: Runs whose ends were taken, or that were given up.
         self.settled_runs: set[RunNumber] = set()
+        #: Since when it could be placed, on its owner's steady clock.
+        self.waits_since: Seconds | None = None
         #: Earlier runs ended under an owner before, which judged them.
         self.oldest_run = RunNumber(0)
 
@@ -262,6 +265,7 @@
     def place(self, task: Task, run: RunNumber, worker: WorkerId) -> None:
         """Note that a run of a task is given to a worker."""
         task.phase = TaskPhase.PLACED
+        task.waits_since = None
         task.run = run
         task.worker = worker
         self.workers.add(worker)
