--- a/orchidrail/shard/tests/test_open_workers.py
+++ b/orchidrail/shard/tests/test_open_workers.py
@@ -6,6 +6,7 @@
 
 from orchidrail.shard.books import PlacedRun, WorkerBooks
 from orchidrail.shard.open_workers import OpenWorkers
+from orchidrail.shard.placing import choose_workers
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.types import RunNumber, TaskKey, WorkerId
 from orchidrail.work.job import StepState
@@ -47,6 +48,13 @@
     return [books.worker for books in found]
 
 
+def _usable(workers: OpenWorkers, step: StepState) -> list[str]:
+    """Return where the tasks of a step go now."""
+    found = workers.with_room(step)
+    chosen = choose_workers(step, step.startable(), found)
+    return [placement.books.worker for placement in chosen]
+
+
 class OpenWorkersTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -90,6 +98,24 @@
         alone = OpenWorkers(self.books[:1])
         self.assertEqual(['a'], _names(alone.with_room(step)))
 
+    def test_a_worker_that_failed_a_step_is_taken_if_no_other_has_room(
+        self,
+    ) -> None:
+        """Seen on a users' site: an ordinary task stood still for 10 s.
+
+        It had failed on two workers, which had room; the other permitted one
+        was open and full. Brought about here: the other is full, or holds as
+        many tasks of the step as it may.
+        """
+        full = advised(StepSpec(1, Size(4000)), 'a', 'd')
+        full.failed_on.add(WorkerId('a'))
+        self.assertEqual(['a'], _usable(OpenWorkers(self.books), full))
+        held = make_step(StepSpec(4, Size(1000), most_per_worker=1))
+        for books in self.books[1:]:
+            books.count_by_step[held.key] = 1
+        held.failed_on.add(WorkerId('a'))
+        self.assertEqual(['a'], _usable(OpenWorkers(self.books), held))
+
     def test_the_label_that_a_step_needs_is_looked_at(self) -> None:
         workers = OpenWorkers(self.books)
         step = make_step(StepSpec(1, Size(1000), label='kind-b'))
--- /dev/null
+++ b/standins/tests/test_lasting.py
@@ -0,0 +1,64 @@
+"""Tests of tasks that last: each is started again, whatever has failed before.
+
+Seen on a users' site: a task that lasts had failed, as such tasks may at any
+time, and was not started again for longer than is granted, though permitted
+workers had room for it. Other jobs of the same owner ran well meanwhile.
+
+Brought about here: steps of one task a worker, a tenth of whose runs fail; on
+the second day few workers are permitted, and some fail all that they start.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from testtools import TestCase
+
+from standins.model import CellLoad, CellModel, QueueLoad
+from standins.model.load import Breakage, Draw
+
+_SEEDS = range(1, 5)
+_LISTENERS = QueueLoad(
+    name='listeners',
+    per_s=0.2,
+    worth=2,
+    priority=1,
+    stretch=2.2,
+    target=2.5,
+    tasks=Draw(10),
+    cores=Draw(6),
+    megabytes=Draw(4000),
+    work=Draw(0.5),
+    fails=0.1,
+    apart=1,
+    stays=Draw(80),
+)
+_ADVICE = (0.56, 0.008, 2.0)
+_BREAKAGES = [Breakage(at, lasts=2.5, share=0.33) for at in (6, 12)]
+
+
+class LastingTest(TestCase):
+    def assert_all_back(self, load: CellLoad) -> None:
+        """Play some days; none of their tasks may be left waiting."""
+        for seed in _SEEDS:
+            model = CellModel(load, seed)
+            outcome = model.play()
+            self.assertEqual((seed, []), (seed, model.lasting.left_waiting))
+            self.assertEqual((0, 0), (outcome.overfull, outcome.doubled))
+
+    def test_a_task_is_back_though_all_other_workers_hold_one(self) -> None:
+        self.assert_all_back(CellLoad([_LISTENERS], workers=12, lasts=20))
+
+    def test_a_task_is_back_where_few_workers_are_permitted(self) -> None:
+        listeners = msgspec.structs.replace(
+            _LISTENERS,
+            advice=_ADVICE,
+            good=0.3,
+        )
+        load = CellLoad(
+            [listeners],
+            workers=36,
+            lanes=8,
+            lasts=20,
+            breakages=_BREAKAGES,
+        )
+        self.assert_all_back(load)
