--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -36,6 +36,16 @@
         'worker stands still',
     )
 )
+#: Lines after which a job does not go on.
+_ENDING = frozenset(
+    (
+        'job cancelled',
+        'job not accepted',
+        'job over',
+        'job refused',
+        'job withdrawn',
+    )
+)
 _HIDDEN_FIELDS = frozenset(('timestamp', 'daemon', 'zone', 'level', 'event'))
 
 
@@ -67,6 +77,9 @@
 def explain(job_id: str, lines: Iterable[str]) -> list[LogLine]:
     """Return the lines on a job, and those that surround it, in order.
 
+    A job that has not ended is surrounded by all that came after its first
+    line: what keeps its tasks from running may not name it.
+
     Parameters
     ----------
     job_id : str
@@ -88,12 +101,16 @@
     own = [line for line in parsed if line.names(job_id)]
     if not own:
         return []
-    first, last = own[0].timestamp, own[-1].timestamp
+    ended = any(line.event in _ENDING for line in own)
+    last = own[-1] if ended else parsed[-1]
+    first_at, last_at = own[0].timestamp, last.timestamp
     return [
         line
         for line in parsed
         if line.names(job_id)
-        or (line.event in _SURROUNDING and first <= line.timestamp <= last)
+        or (
+            line.event in _SURROUNDING and first_at <= line.timestamp <= last_at
+        )
     ]
 
 
--- a/orchidrail/cli/tests/test_explain.py
+++ b/orchidrail/cli/tests/test_explain.py
@@ -38,5 +38,44 @@
         )
         self.assertEqual(['job accepted', 'worker lost', 'job over'], found)
 
+    def test_shows_what_the_tasks_of_a_job_wait_for(self) -> None:
+        line = _line(
+            2,
+            'tasks wait',
+            job=_JOB,
+            step=f'{_JOB}.0.0',
+            seconds=6.7,
+            reason='room',
+            workers={'copies': 9, 'failed': 3},
+        )
+        other = _line(3, 'tasks wait', job='f' * 16, step=f'{"f" * 16}.0.0')
+        found = explain(_JOB, (_line(1, 'job accepted', job=_JOB), line, other))
+        self.assertEqual(
+            ['job accepted', 'tasks wait'],
+            [shown.event for shown in found],
+        )
+        for told in ('seconds=6.7', 'reason=room', "'failed': 3"):
+            self.assertIn(told, found[-1].show())
+
+    def test_a_job_without_an_end_is_surrounded_by_all_that_came_later(
+        self,
+    ) -> None:
+        found = self.events(
+            _line(1, 'worker lost', worker='v'),
+            _line(2, 'job accepted', job=_JOB),
+            _line(3, 'tasks wait', job=_JOB),
+            _line(4, 'worker rests', worker='w'),
+            _line(5, 'placed', job='f' * 16),
+        )
+        self.assertEqual(['job accepted', 'tasks wait', 'worker rests'], found)
+
+    def test_a_cancelled_job_has_ended(self) -> None:
+        found = self.events(
+            _line(2, 'tasks wait', job=_JOB),
+            _line(3, 'job cancelled', job=_JOB),
+            _line(4, 'worker rests', worker='w'),
+        )
+        self.assertEqual(['tasks wait', 'job cancelled'], found)
+
     def test_passes_over_what_is_no_log_line(self) -> None:
         self.assertEqual([], self.events('', 'text', '{broken', '12 {"a": 1}'))
