--- a/tools/losses.py
+++ b/tools/losses.py
@@ -2,7 +2,8 @@
 
 ``python -m tools.losses FILE...`` reads JSON lines, also those with a time
 and a name before them, and prints by queue and cause how many jobs were late
-and for how many seconds they waited. `--worth QUEUE=X` weighs a queue's jobs.
+and for how many seconds they waited. Of jobs that are not over it prints what
+their tasks waited for longest. `--worth QUEUE=X` weighs a queue's jobs.
 """
 
 from __future__ import annotations
@@ -11,14 +12,19 @@
 import pathlib
 from collections import Counter, defaultdict
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import fire
 
+from orchidrail.shard.obstacles import Obstacle
+
 #: Part of a late job's time that a cause must have taken to be named.
 _LEAST_SHARE = 0.1
 #: Times the expected end after which a job is of no use any more.
 _USELESS_AFTER = 3
+_RANK_BY_OBSTACLE = {
+    obstacle.value: rank for rank, obstacle in enumerate(Obstacle)
+}
 
 
 class _Ended(NamedTuple):
@@ -49,6 +55,68 @@
         return 'failed runs' if self.failures else 'slow or unseen'
 
 
+class _Waiting(NamedTuple):
+    """What a line of tasks that wait tells."""
+
+    job: str
+    queue: str
+    seconds: float
+    reason: str
+    workers: dict[str, int]
+
+    def cause(self) -> str:
+        """Name what they wait for, and what kept the nearest worker off."""
+        nearest = max(
+            self.workers, key=_RANK_BY_OBSTACLE.__getitem__, default=''
+        )
+        return f'{self.reason or "nothing"}, {nearest or "no worker"}'
+
+
+class _Tally:
+    """What the lines tell of all jobs."""
+
+    def __init__(self) -> None:
+        """Start without any job."""
+        self.ended_by_queue: dict[str, list[_Ended]] = defaultdict(list)
+        self.refused: Counter[str] = Counter()
+        self._over: set[str] = set()
+        self._longest_by_job: dict[str, _Waiting] = {}
+        self._note_by_event = {
+            'job over': self._note_over,
+            'job refused': self._note_refused,
+            'job not accepted': self._note_refused,
+            'tasks wait': self._note_waiting,
+        }
+
+    def note(self, entry: dict[str, object]) -> None:
+        """Take one line."""
+        note = self._note_by_event.get(str(entry.get('event')))
+        if note is not None:
+            note(entry)
+
+    def waiting_by_queue(self) -> dict[str, list[_Waiting]]:
+        """Return the longest wait of each job that is not over."""
+        waiting_by_queue: dict[str, list[_Waiting]] = defaultdict(list)
+        for job, waiting in self._longest_by_job.items():
+            if job not in self._over:
+                waiting_by_queue[waiting.queue].append(waiting)
+        return waiting_by_queue
+
+    def _note_over(self, entry: dict[str, object]) -> None:
+        ended = _Ended(*_pick(entry, _Ended._fields))
+        self._over.add(ended.job)
+        self.ended_by_queue[ended.queue].append(ended)
+
+    def _note_waiting(self, entry: dict[str, object]) -> None:
+        waiting = _Waiting(*_pick(entry, _Waiting._fields))
+        longest = self._longest_by_job.setdefault(waiting.job, waiting)
+        if waiting.seconds > longest.seconds:
+            self._longest_by_job[waiting.job] = waiting
+
+    def _note_refused(self, entry: dict[str, object]) -> None:
+        self.refused[f'{entry["queue"]}: {entry["event"]}'] += 1
+
+
 def read_lines(paths: tuple[str, ...]) -> Iterator[dict[str, object]]:
     """Yield the JSON objects of log files; other lines are passed over."""
     for path in paths:
@@ -64,8 +132,8 @@
                 yield entry
 
 
-def _ended(entry: dict[str, object]) -> _Ended:
-    return _Ended(*(entry[name] for name in _Ended._fields))  # type: ignore[arg-type]
+def _pick(entry: dict[str, object], names: tuple[str, ...]) -> Iterator[Any]:
+    return (entry[name] for name in names)
 
 
 def _print_queue(queue: str, ended: list[_Ended], worth: float) -> None:
@@ -79,6 +147,20 @@
         print(f'  {cause:14} {count:4} jobs {over:8.1f} s {worth * count:8.2f}')
 
 
+def _print_waiting(
+    queue: str,
+    waiting: list[_Waiting],
+    worth: float,
+) -> None:
+    print(f'{queue}: {len(waiting)} waited and are not over')
+    count_by_cause = Counter(job.cause() for job in waiting)
+    for cause, count in count_by_cause.most_common():
+        longest = sum(job.seconds for job in waiting if job.cause() == cause)
+        print(
+            f'  {cause:20} {count:4} jobs {longest:8.1f} s {worth * count:8.2f}'
+        )
+
+
 def report(*paths: str, worth: dict[str, float] | None = None) -> None:
     """Print the table of all files.
 
@@ -89,18 +171,15 @@
     worth : dict, optional
         Worth of one job by the name of its queue; 1 where none is given.
     """
-    ended_by_queue: dict[str, list[_Ended]] = defaultdict(list)
-    refused: Counter[str] = Counter()
+    tally = _Tally()
     for entry in read_lines(paths):
-        event = entry.get('event')
-        if event == 'job over':
-            ended = _ended(entry)
-            ended_by_queue[ended.queue].append(ended)
-        if event in {'job refused', 'job not accepted'}:
-            refused[f'{entry["queue"]}: {event}'] += 1
-    for queue, jobs in sorted(ended_by_queue.items()):
-        _print_queue(queue, jobs, (worth or {}).get(queue, 1))
-    for what, count in refused.most_common():
+        tally.note(entry)
+    worth_by_queue = worth or {}
+    for queue, ended in sorted(tally.ended_by_queue.items()):
+        _print_queue(queue, ended, worth_by_queue.get(queue, 1))
+    for queue, waiting in sorted(tally.waiting_by_queue().items()):
+        _print_waiting(queue, waiting, worth_by_queue.get(queue, 1))
+    for what, count in tally.refused.most_common():
         print(f'{what}: {count} times')
 
 
--- a/tools/tests/test_losses.py
+++ b/tools/tests/test_losses.py
@@ -23,6 +23,18 @@
     'waits': {'room': 6.0, 'advice': 0.1},
 }
 
+_WAITING = {
+    'event': 'tasks wait',
+    'job': 'b',
+    'step': 'b.0.0',
+    'queue': 'q',
+    'tasks': 3,
+    'seconds': 6.5,
+    'reason': 'room',
+    'asking': 0,
+    'workers': {'copies': 9, 'failed': 3, 'notPermitted': 20},
+}
+
 
 class LossesTest(unittest.TestCase):
     def print_report(self, *entries: dict[str, object]) -> str:
@@ -48,3 +60,19 @@
     def test_refusals_are_counted(self) -> None:
         printed = self.print_report({'event': 'job refused', 'queue': 'q'})
         self.assertIn('q: job refused: 1 times', printed)
+
+    def test_a_job_that_is_not_over_is_counted_by_its_longest_wait(
+        self,
+    ) -> None:
+        earlier = {**_WAITING, 'seconds': 2.5, 'workers': {'room': 32}}
+        printed = self.print_report(earlier, _WAITING, earlier)
+        self.assertIn('q: 1 waited and are not over', printed)
+        self.assertRegex(printed, r'room, failed +1 jobs +6\.5 s +0\.50')
+
+    def test_a_wait_of_a_job_that_is_over_is_told_by_its_end(self) -> None:
+        printed = self.print_report({**_WAITING, 'job': 'a'}, _LATE)
+        self.assertNotIn('are not over', printed)
+
+    def test_waits_for_no_worker_in_particular_are_counted(self) -> None:
+        nobody = {**_WAITING, 'workers': {}, 'reason': ''}
+        self.assertIn('nothing, no worker', self.print_report(nobody))
