--- a/orchidrail/shard/long_waits.py
+++ b/orchidrail/shard/long_waits.py
@@ -46,6 +46,8 @@
         """Start with nothing told."""
         self._state = state
         self._told_at_by_step: dict[str, Seconds] = {}
+        #: Queues whose gauge was set; it stays until it is set again.
+        self._gauged: set[QueueName] = set()
 
     def report(
         self,
@@ -114,9 +116,10 @@
 
     def _gauge(self, waits: Iterable[LongWait]) -> None:
         """Set the longest wait of each queue, 0 where nothing waits."""
+        jobs = self._state.job_by_id.values()
+        self._gauged.update(job.queue.name for job in jobs)
         longest_by_queue: dict[QueueName, Seconds] = defaultdict(float)
-        for job in self._state.job_by_id.values():
-            longest_by_queue[job.queue.name] = 0
+        longest_by_queue.update(dict.fromkeys(self._gauged, 0))
         for wait in waits:
             name = wait.step.job.queue.name
             longest = max(longest_by_queue[name], wait.seconds)
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -256,6 +256,28 @@
 
         self.play(scene)
 
+    def test_the_gauge_of_waits_falls_when_a_queue_has_no_job_left(
+        self,
+    ) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            spec = StepSpec(3, Size(1000), lasting=True, most_per_worker=1)
+            job = _make_job('a' * 16, spec, 1, advice=False)
+            shard.add(job)
+            await asyncio.sleep(_SOON)
+            waits = LongWaits(shard.state)
+            shard.state.clock = lambda: time.monotonic() + 3
+            waits.report([job.steps(0)[0]], frozenset(), {})
+            shard.state.job_by_id.pop(job.job_id)
+            waits.report([], frozenset(), {})
+            waiting = shard.state.metrics.registry.get_sample_value(
+                'orchidrail_longest_task_wait_seconds',
+                {'queue': job.queue.name},
+            )
+            self.assertEqual(0, waiting)
+
+        self.play(scene)
+
     def test_a_backlog_asks_for_no_more_than_the_lanes_can_take(self) -> None:
         """After a loss of power, hundreds of steps wait for advice at once."""
 
