--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -135,6 +135,7 @@
             place_all(step)
             job.end_run(task, task.run, RunEnding.FAILED, '')
         self.assertEqual([task], step.startable())
+        self.assertEqual(JobPhase.RUNNING, job.phase)
 
     def test_rounds_fall_due_at_their_times(self) -> None:
         job = make_job(StepSpec(1), repeats=3)
