--- a/orchidrail/shard/load_report.py
+++ b/orchidrail/shard/load_report.py
@@ -2,15 +2,84 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 
+import structlog
+
+from orchidrail.shard.advice_desk import AdviceDesk
+from orchidrail.shard.long_waits import LongWaits
+from orchidrail.shard.placer import Placer
 from orchidrail.shard.state import ShardState
-from orchidrail.types import TenantId
+from orchidrail.types import Seconds, TenantId
 from orchidrail.work.tenant import Tenant
+from orchidrail.work.waits import WaitReason
 
+_log = structlog.get_logger()
+_REPORT_EVERY: Seconds = 1.0
+_MILLIS = 1000
 _RESOURCES = ('millicores', 'megabytes', 'accelerators')
 
 
+class LoadReport:
+    """Tells of a shard's load now and then, for those who look back.
+
+    Parameters
+    ----------
+    state : ShardState
+    placer : Placer
+    desk : AdviceDesk
+    """
+
+    def __init__(
+        self,
+        state: ShardState,
+        placer: Placer,
+        desk: AdviceDesk,
+    ) -> None:
+        """Start with nothing told."""
+        self._state = state
+        self._placer = placer
+        self._desk = desk
+        self._long_waits = LongWaits(state)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await asyncio.sleep(_REPORT_EVERY)
+            self._note_lost_workers()
+            self._report()
+
+    def _report(self) -> None:
+        state = self._state
+        now = state.clock()
+        every = list(state.books_by_worker.values())
+        work = self._placer.waiting_work()
+        waiting_tasks = self._placer.waiting_tasks()
+        gauge_workers(state, waiting_tasks)
+        gauge_tenants(state)
+        self._long_waits.report(work)
+        free = sum(books.free.millicores for books in every)
+        _log.info(
+            'shard load',
+            jobs=len(state.job_by_id),
+            waiting_tasks=waiting_tasks,
+            waiting_steps=len(work.steps),
+            asking=sum(step.permits.asking for step in work.steps),
+            workers=len(every),
+            open_workers=sum(books.open(now) for books in every),
+            free_cores=free // _MILLIS,
+            unconfirmed=round(state.writer.unconfirmed_for(), 3),
+            **self._desk.load(),
+        )
+
+    def _note_lost_workers(self) -> None:
+        """Add up, once a report, waits for workers that do not answer."""
+        for job in self._state.job_by_id.values():
+            if any(map(self._state.lost, job.placed_on())):
+                job.waits.add(WaitReason.LOST_WORKER, _REPORT_EVERY)
+
+
 def gauge_workers(state: ShardState, waiting_tasks: int) -> None:
     """Set the gauges of workers and of what waits for them."""
     metrics = state.metrics
--- a/orchidrail/shard/long_waits.py
+++ b/orchidrail/shard/long_waits.py
@@ -26,6 +26,24 @@
 _MOST_TOLD = 10
 
 
+class WaitingWork(NamedTuple):
+    """What waits in a shard.
+
+    Parameters
+    ----------
+    steps : list of StepState
+        All that have tasks whose turn has come.
+    kept : frozenset of str
+        Workers that were kept for some step in the last pass.
+    reason_by_job : dict
+        What the jobs wait for.
+    """
+
+    steps: list[StepState]
+    kept: frozenset[WorkerId]
+    reason_by_job: dict[JobId, WaitReason]
+
+
 class LongWait(NamedTuple):
     """A step some tasks of which have waited for long."""
 
@@ -49,25 +67,10 @@
         #: Queues whose gauge was set; it stays until it is set again.
         self._gauged: set[QueueName] = set()
 
-    def report(
-        self,
-        steps: list[StepState],
-        kept: frozenset[WorkerId],
-        reason_of: dict[JobId, WaitReason],
-    ) -> None:
-        """Log the longest waits and set the gauges.
-
-        Parameters
-        ----------
-        steps : list of StepState
-            All that have tasks whose turn has come.
-        kept : frozenset of str
-            Workers that were kept for some step in the last pass.
-        reason_of : dict of JobId to WaitReason
-            What the jobs wait for, by id.
-        """
+    def report(self, work: WaitingWork) -> None:
+        """Log the longest waits and set the gauges."""
         now = self._state.clock()
-        waits = [_wait_of(step, now) for step in steps]
+        waits = [_wait_of(step, now) for step in work.steps]
         self._gauge(waits)
         long = sorted(
             (wait for wait in waits if wait.seconds >= _LONG),
@@ -76,7 +79,7 @@
         due = [wait for wait in long if self._is_due(wait.step, now)]
         for wait in due[:_MOST_TOLD]:
             self._told_at_by_step[wait.step.key] = now
-            self._tell(wait, kept, reason_of)
+            self._tell(wait, work)
         still = {wait.step.key for wait in long}
         for key in self._told_at_by_step.keys() - still:
             self._told_at_by_step.pop(key)
@@ -85,20 +88,15 @@
         told_at = self._told_at_by_step.get(step.key)
         return told_at is None or now - told_at >= _TOLD_EVERY
 
-    def _tell(
-        self,
-        wait: LongWait,
-        kept: frozenset[WorkerId],
-        reason_of: dict[JobId, WaitReason],
-    ) -> None:
+    def _tell(self, wait: LongWait, work: WaitingWork) -> None:
         step = wait.step
         counts = count_obstacles(
             step,
             self._state.books_by_worker.values(),
-            kept,
+            work.kept,
             self._state.clock(),
         )
-        reason = reason_of.get(step.job.job_id)
+        reason = work.reason_by_job.get(step.job.job_id)
         _log.info(
             'tasks wait',
             job=step.job.job_id,
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -16,6 +16,7 @@
 from orchidrail.shard.advice_desk import AdviceDesk, AskThrough
 from orchidrail.shard.authority import doubt_until, renew_for
 from orchidrail.shard.fleet import DecodeEntry, Fleet
+from orchidrail.shard.load_report import LoadReport
 from orchidrail.shard.objections import (
     Objection,
     Objections,
@@ -142,7 +143,7 @@
                     self.writer.run(),
                     self._fleet.run(),
                     self.placer.run(),
-                    self.placer.report(),
+                    LoadReport(self.state, self.placer, self.desk).run(),
                     self._expire_jobs(),
                 )
             ]
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -6,13 +6,10 @@
 import contextlib
 from operator import itemgetter
 
-import structlog
-
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.due_times import DueTimes
 from orchidrail.shard.headroom import Headroom
-from orchidrail.shard.load_report import gauge_tenants, gauge_workers
-from orchidrail.shard.long_waits import LongWaits
+from orchidrail.shard.long_waits import WaitingWork
 from orchidrail.shard.passes import Pass, Rooms, WaitingStep
 from orchidrail.shard.placing import Placement, choose_workers
 from orchidrail.shard.questions import TICKET_MARGIN, Questions
@@ -23,17 +20,14 @@
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.waits import WaitReason
 
-_log = structlog.get_logger()
 #: Least time between two passes; they take at most half of all time, so that
 #: orders and looks go on beside them.
 _PACE: Seconds = 0.004
 #: Passes come at least this often, for times that fall due.
 _LOOK_EVERY: Seconds = 0.1
-_REPORT_EVERY: Seconds = 1.0
 #: Silence of the journal after which nothing is placed: a start waits for it,
 #: and tickets run out meanwhile. It answers in 8 ms, in 0.3 s where it is slow.
 _JOURNAL_SILENT: Seconds = 0.7
-_MILLIS = 1000
 
 
 class Placer:
@@ -62,7 +56,6 @@
         self._waiting_by_job: dict[JobId, list[WaitingStep]] = {}
         self._rooms = Rooms()
         self._due_times = DueTimes()
-        self._long_waits = LongWaits(state)
         #: Of the last pass: workers kept for some step, and what jobs wait for.
         self._kept: frozenset[WorkerId] = frozenset()
         self._reason_by_job: dict[JobId, WaitReason] = {}
@@ -180,43 +173,15 @@
             for waiting in steps
         )
 
-    async def report(self) -> None:
-        """Log the shard's load now and then, for those who look back."""
-        while True:
-            await asyncio.sleep(_REPORT_EVERY)
-            state = self._state
-            now = state.clock()
-            self._note_lost_workers()
-            every = list(state.books_by_worker.values())
-            steps = [
-                waiting.step
-                for of_job in self._waiting_by_job.values()
-                for waiting in of_job
-                if waiting.step.startable()
-            ]
-            waiting_tasks = self.waiting_tasks()
-            gauge_workers(state, waiting_tasks)
-            gauge_tenants(state)
-            self._long_waits.report(steps, self._kept, self._reason_by_job)
-            _log.info(
-                'shard load',
-                jobs=len(state.job_by_id),
-                waiting_tasks=waiting_tasks,
-                waiting_steps=len(steps),
-                asking=sum(step.permits.asking for step in steps),
-                workers=len(every),
-                open_workers=sum(books.open(now) for books in every),
-                free_cores=sum(books.free.millicores for books in every)
-                // _MILLIS,
-                unconfirmed=round(state.writer.unconfirmed_for(), 3),
-                **self._desk.load(),
-            )
-
-    def _note_lost_workers(self) -> None:
-        """Add up, once a report, waits for workers that do not answer."""
-        for job in self._state.job_by_id.values():
-            if any(map(self._state.lost, job.placed_on())):
-                job.waits.add(WaitReason.LOST_WORKER, _REPORT_EVERY)
+    def waiting_work(self) -> WaitingWork:
+        """Return what waits, and what the last pass has found out."""
+        steps = [
+            waiting.step
+            for of_job in self._waiting_by_job.values()
+            for waiting in of_job
+            if waiting.step.startable()
+        ]
+        return WaitingWork(steps, self._kept, self._reason_by_job)
 
     def _refresh(self) -> None:
         wall = self._state.wall_clock()
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -14,7 +14,7 @@
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
-from orchidrail.shard.long_waits import LongWaits
+from orchidrail.shard.long_waits import LongWaits, WaitingWork
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
@@ -236,11 +236,12 @@
             waits = LongWaits(shard.state)
             step = job.steps(0)[0]
             reason_by_job = {job.job_id: WaitReason.ROOM}
+            work = WaitingWork([step], frozenset(), reason_by_job)
             with capture_logs() as lines:
-                waits.report([step], frozenset(), reason_by_job)
+                waits.report(work)
                 shard.state.clock = lambda: time.monotonic() + 3
                 for _ in range(2):
-                    waits.report([step], frozenset(), reason_by_job)
+                    waits.report(work)
             told = [line for line in lines if line['event'] == 'tasks wait']
             self.assertEqual(
                 [(2, 'room')],
@@ -267,9 +268,9 @@
             await asyncio.sleep(_SOON)
             waits = LongWaits(shard.state)
             shard.state.clock = lambda: time.monotonic() + 3
-            waits.report([job.steps(0)[0]], frozenset(), {})
+            waits.report(WaitingWork(job.steps(0), frozenset(), {}))
             shard.state.job_by_id.pop(job.job_id)
-            waits.report([], frozenset(), {})
+            waits.report(WaitingWork([], frozenset(), {}))
             waiting = shard.state.metrics.registry.get_sample_value(
                 'orchidrail_longest_task_wait_seconds',
                 {'queue': job.queue.name},
