--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -98,6 +98,8 @@
     progress_at: Seconds = 0
     #: What it takes of its tenant's limit, where no task tells.
     left: Holding | None = None
+    #: Whether its worker was found sound by it: it lasts, and worked on.
+    sound: bool = False
 
     @property
     def holding(self) -> Holding | None:
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -12,12 +12,15 @@
 from orchidrail.shard.ranking import due_at
 from orchidrail.shard.standing import Standings
 from orchidrail.shard.state import ShardState
-from orchidrail.types import RunNumber
+from orchidrail.types import RunNumber, Seconds
 from orchidrail.work.job import Job, Task
 from orchidrail.work.records import TaskPhase
 from orchidrail.workers.port import EndedRun, RunEnding, RunKey
 
 _log = structlog.get_logger()
+#: Time at work after which a run that lasts speaks for its worker: one that is
+#: to fail with whatever its worker starts has failed by then.
+_SOUND_AFTER: Seconds = 3.0
 
 
 class RunEnds:
@@ -70,7 +73,7 @@
         ).inc()
         if run is not None and ended.ending is RunEnding.DONE:
             self._learn_pace(books, run, task)
-        self._judge(books, task, ended.ending)
+        self._judge(books, run, task, ended.ending)
         if ended.ending is not RunEnding.DONE:
             _log.info(
                 'run ended',
@@ -83,6 +86,17 @@
         if ended.ending in (RunEnding.LAPSED, RunEnding.ALONE):
             self._break_gang(task)
 
+    def note_active(self, books: WorkerBooks, run: PlacedRun) -> None:
+        """Take that a run is at work; one that lasts has no other success.
+
+        It counts once: it says nothing of what its worker starts later.
+        """
+        if run.sound or run.task is None or not run.task.step.spec.lasting:
+            return
+        if books.outlived(run) >= _SOUND_AFTER:
+            run.sound = True
+            self._standings.note_success(books.worker)
+
     def lose(
         self,
         books: WorkerBooks,
@@ -142,6 +156,7 @@
     def _judge(
         self,
         books: WorkerBooks,
+        run: PlacedRun | None,
         task: Task,
         ending: RunEnding,
     ) -> None:
@@ -151,6 +166,9 @@
         if ending is not RunEnding.FAILED:
             return
         task.step.failed_on.add(books.worker)
+        if run is not None and run.sound:
+            # What lasts may fail at any time, wherever it runs.
+            return
         now = self._state.clock()
         rest = self._standings.note_failure(
             books.worker,
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -407,6 +407,7 @@
         if task is not None and active.checkpoint:
             task.checkpoint = active.checkpoint
         self._judge.note_outlived(books, run)
+        self._ends.note_active(books, run)
         if not self._wanted(run):
             self.stop(books, run)
 
--- a/orchidrail/shard/standing.py
+++ b/orchidrail/shard/standing.py
@@ -9,7 +9,10 @@
 _JOBS_BLAMED = 2
 #: First rest of a worker that is blamed; it doubles while nothing succeeds.
 _FIRST_REST: Seconds = 1.0
-_LONGEST_REST: Seconds = 8.0
+#: A task all of whose permitted workers rest stands still meanwhile.
+_LONGEST_REST: Seconds = 4.0
+#: Time without a failure after which earlier ones say nothing any more.
+_FORGOTTEN_AFTER: Seconds = 3 * _LONGEST_REST
 #: Share of the workers that may rest at one time.
 _MOST_RESTING = 0.34
 
@@ -32,6 +35,7 @@
         self._failed_jobs_by_worker: dict[WorkerId, set[JobId]] = {}
         self._rest_by_worker: dict[WorkerId, Seconds] = {}
         self._rests_until_by_worker: dict[WorkerId, Seconds] = {}
+        self._failed_at_by_worker: dict[WorkerId, Seconds] = {}
 
     def note_success(self, worker: WorkerId) -> None:
         """Take that a run succeeded on a worker."""
@@ -46,6 +50,9 @@
         workers: int,
     ) -> Seconds:
         """Take that a run failed; return for how long the worker rests."""
+        if now - self._failed_at_by_worker.get(worker, now) > _FORGOTTEN_AFTER:
+            self.note_success(worker)
+        self._failed_at_by_worker[worker] = now
         failed = self._failed_jobs_by_worker.setdefault(worker, set())
         failed.add(job_id)
         if len(failed) < _JOBS_BLAMED or self._too_many_rest(now, workers):
