--- a/orchidrail/work/failed_workers.py
+++ b/orchidrail/work/failed_workers.py
@@ -14,15 +14,15 @@
 
 from orchidrail.types import Seconds, WorkerId
 
-#: How long a worker is avoided after its first failure; it doubles with each,
-#: since each further start there costs one of few attempts.
+#: How long a worker is avoided after its first failure; it doubles with each.
 _FIRST: Seconds = 1.0
-#: Longest time for tasks that end by themselves. They may stand still for 3 s;
-#: the rest is for a question for new tickets.
+#: Longest time for tasks that end by themselves: each further start there costs
+#: one of few attempts, but they may stand still for 3 s only, with a question
+#: for new tickets.
 LONGEST: Seconds = 2.0
-#: The same for tasks that last: they may be away for 9 s, have no attempts to
-#: lose, and may meet the same broken worker each time.
-LONGEST_LASTING: Seconds = 4.0
+#: The same for tasks that last. They have no attempts to lose, and others of
+#: their step may wait for each worker that they leave.
+LONGEST_LASTING: Seconds = _FIRST
 #: Failures further apart than this say nothing of one another.
 _FORGOTTEN: Seconds = 30.0
 
--- a/standins/tests/test_lasting.py
+++ b/standins/tests/test_lasting.py
@@ -69,3 +69,23 @@
             breakages=_BREAKAGES,
         )
         self.assert_all_back(load)
+
+    def test_a_task_that_fails_again_and_again_keeps_no_other_away(
+        self,
+    ) -> None:
+        """Steps wider than their permitted workers, half of whose runs fail.
+
+        A worker avoided for longer with each failure was free and left out for
+        most of the time, while others of the step waited for it.
+        """
+        listeners = msgspec.structs.replace(
+            _LISTENERS,
+            tasks=Draw(24),
+            work=Draw(2, 0.5, 4),
+            stays=Draw(60),
+            fails=0.5,
+            advice=_ADVICE,
+            good=0.3,
+        )
+        load = CellLoad([listeners], workers=48, lanes=8, lasts=30)
+        self.assert_all_back(load)
