--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -116,6 +116,11 @@
         self.oldest_run = RunNumber(row.run + 1) if judged else row.run
 
 
+def _waits_since(task: Task) -> Seconds:
+    """Return since when a task waits; it may not have been noted yet."""
+    return math.inf if task.waits_since is None else task.waits_since
+
+
 class StepState:
     """One step in one round of a job: the unit that is placed."""
 
@@ -142,12 +147,19 @@
         return all(task.phase is TaskPhase.DONE for task in self.tasks)
 
     def startable(self) -> list[Task]:
-        """Return the tasks that may be started now; of a gang all or none."""
+        """Return the tasks that may be started now; of a gang all or none.
+
+        Of tasks that last, those that have waited longest come first: where
+        fewer workers are permitted than there are tasks, those with low numbers
+        would else be back each time before the others have their turn.
+        """
         waiting = [
             task for task in self.tasks if task.phase is TaskPhase.WAITING
         ]
         if self.spec.gang and len(waiting) < len(self.tasks):
             return []
+        if self.spec.lasting:
+            waiting.sort(key=_waits_since)
         return waiting
 
     def next_run(self, tasks: list[Task]) -> RunNumber:
--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -127,6 +127,15 @@
         self.assertEqual({1}, {task.failures for task in step.tasks})
         self.assertEqual(JobPhase.RUNNING, job.phase)
 
+    def test_the_lasting_task_that_has_waited_longest_is_started_first(
+        self,
+    ) -> None:
+        step = next(make_job(StepSpec(3, lasting=True)).open_steps(0))
+        for task, since in zip(step.tasks, (30, 10, None), strict=True):
+            task.waits_since = since
+        ordered = [task.index for task in step.startable()]
+        self.assertEqual([1, 0, 2], ordered)
+
     def test_a_lasting_task_starts_again_for_ever(self) -> None:
         job = make_job(StepSpec(1, lasting=True), attempts=1)
         step = next(job.open_steps(0))
