--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -46,7 +46,7 @@
     judge_queues,
     judge_tenants,
 )
-from standins.model.lasting import CALM_AFTER, ROOM_FOR, LastingWatch
+from standins.model.lasting import CALM_BEFORE, ROOM_FOR, LastingWatch
 from standins.model.liveness import LivenessWatch
 from standins.model.load import (
     LEAD,
@@ -122,6 +122,8 @@
         self._ended_by_id: dict[str, EndedJob] = {}
         self.liveness = LivenessWatch()
         self.lasting = LastingWatch(self.workers)
+        #: Accepted jobs whose tasks last and that nobody has cancelled.
+        self._lasting_by_id: dict[JobId, DrawnJob] = {}
         self._faults = sorted(_fault_spans(load))
         self._busy: list[float] = []
         self._idle_waiting: list[float] = []
@@ -202,9 +204,17 @@
         known = JobId(job_id)
         settings, tenant = drawn.queue.settings, self._find_tenant(drawn.tenant)
         if owner.objection(known, settings, drawn.spec, tenant) is None:
-            await owner.submit(known, settings, drawn.spec, tenant=tenant)
+            taken = await owner.submit(
+                known,
+                settings,
+                drawn.spec,
+                tenant=tenant,
+            )
+            if taken and drawn.cancelled_after is not None:
+                self._lasting_by_id[known] = drawn
         if drawn.cancelled_after is not None:
             await asyncio.sleep(drawn.cancelled_after)
+            self._lasting_by_id.pop(known, None)
             await owner.cancel(known)
 
     def _find_tenant(self, name: TenantId) -> Tenant:
@@ -234,17 +244,12 @@
             await asyncio.sleep(_SAMPLE_EVERY)
             now = loop.time()
             self.liveness.look(owner, now, _wall_clock())
-            open_jobs = [
-                (job_id, self._drawn_by_id[job_id])
-                for job_id, job in owner.state.job_by_id.items()
-                if job.accepted
-            ]
-            self.lasting.look(open_jobs, now, self._calm(now))
+            self.lasting.look(self._lasting_by_id, now, self._calm(now))
 
     def _calm(self, now: Seconds) -> bool:
         """Whether no fault of the day acts now or did of late."""
         return not any(
-            begins <= now < ends + CALM_AFTER + ROOM_FOR
+            begins <= now < ends + CALM_BEFORE + ROOM_FOR
             for begins, ends in self._faults
         )
 
--- a/standins/model/lasting.py
+++ b/standins/model/lasting.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from orchidrail.types import JobId, Seconds, TaskKey
@@ -18,10 +18,10 @@
 
 #: How long a task that lasts may be away after its last run.
 MOST_AWAY: Seconds = 6.0
-#: For how long there must be room for it then, and nothing else go wrong.
+#: For how long there must be room for it then, and nothing go wrong.
 ROOM_FOR: Seconds = 3.0
-#: How long a fault tells on the moments after it.
-CALM_AFTER: Seconds = 4.0
+#: How long before that nothing else may go wrong either.
+CALM_BEFORE: Seconds = 4.0
 #: Room for a task must be there as many times.
 _TIMES_OVER = 2
 
@@ -48,13 +48,12 @@
         self._worked_by_job: dict[JobId, int] = {}
         self._owed_by_job: dict[JobId, int] = {}
         self._workers = workers
-        self._seen_at_by_task: dict[TaskKey, Seconds] = {}
         self._room_since_by_task: dict[TaskKey, Seconds] = {}
         self._told: set[TaskKey] = set()
 
     def look(
         self,
-        open_jobs: Iterable[tuple[JobId, DrawnJob]],
+        drawn_by_id: Mapping[JobId, DrawnJob],
         now: Seconds,
         calm: bool,
     ) -> None:
@@ -62,18 +61,16 @@
 
         Parameters
         ----------
-        open_jobs : iterable of (str, DrawnJob)
-            Accepted jobs that nobody has cancelled.
+        drawn_by_id : mapping of JobId to DrawnJob
+            Accepted jobs whose tasks last and that nobody has cancelled.
         calm : bool
-            Whether no fault acts, or acted a while ago.
+            Whether no fault acts, nor did for as long as is judged and before.
         """
-        for job_id, drawn in open_jobs:
-            if drawn.queue.stays is None:
-                continue
+        for job_id, drawn in drawn_by_id.items():
             for task, spec in _tasks(job_id, drawn):
                 self._owed_by_job[job_id] = self._owed_by_job.get(job_id, 0) + 1
                 if self._workers.runs(task):
-                    self._note_at_work(job_id, task, now)
+                    self._note_at_work(job_id, task)
                 else:
                     self._note_away(drawn, task, spec, now, calm)
 
@@ -82,14 +79,8 @@
         owed = self._owed_by_job.get(job_id)
         return self._worked_by_job.get(job_id, 0) / owed if owed else None
 
-    def _note_at_work(
-        self,
-        job_id: JobId,
-        task: TaskKey,
-        now: Seconds,
-    ) -> None:
+    def _note_at_work(self, job_id: JobId, task: TaskKey) -> None:
         self._worked_by_job[job_id] = self._worked_by_job.get(job_id, 0) + 1
-        self._seen_at_by_task[task] = now
         self._room_since_by_task.pop(task, None)
         self._told.discard(task)
 
@@ -101,14 +92,15 @@
         now: Seconds,
         calm: bool,
     ) -> None:
-        away = now - self._seen_at_by_task.get(task, now)
+        away = now - self._workers.last_end_by_task.get(task, now)
         step_key = task.rpartition('.')[0]
-        roomy = calm and away > MOST_AWAY
-        if not roomy or self._rooms(drawn, step_key, spec) < _TIMES_OVER:
+        owed = away > MOST_AWAY
+        if not owed or self._rooms(drawn, step_key, spec) < _TIMES_OVER:
             self._room_since_by_task.pop(task, None)
             return
         since = self._room_since_by_task.setdefault(task, now)
-        if now - since > ROOM_FOR and task not in self._told:
+        long = now - since > ROOM_FOR
+        if long and calm and task not in self._told:
             self._told.add(task)
             self.left_waiting.append(LeftWaiting(task, away))
 
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -110,6 +110,8 @@
         self._lives = 0
         self._current_by_address: dict[Address, ModelWorker] = {}
         self._where_by_task: dict[TaskKey, WorkerId] = {}
+        #: When the last run of a task ended.
+        self.last_end_by_task: dict[TaskKey, Seconds] = {}
         for number in range(load.workers):
             slow = random.random() < load.slow_share
             entry = _make_entry(load, number)
@@ -184,7 +186,6 @@
             return
         self._lives_over.append(worker)
         for key in worker.crash():
-            self._where_by_task.pop(key.task, None)
             self._note_over(key)
             self.lost_beside += key != cause
         if cause is not None:
@@ -458,11 +459,12 @@
         if key in worker.run_by_key:
             self._note_over(key)
         worker.end(key, ending)
-        self._where_by_task.pop(key.task, None)
         if ending is RunEnding.DONE:
             self._done_by_task[key.task].add(key)
 
     def _note_over(self, key: RunKey) -> None:
+        self._where_by_task.pop(key.task, None)
+        self.last_end_by_task[key.task] = _now()
         job, step, _ = self._drawn(key)
         self.limits.end(job.tenant, job.spec.steps[step].size)
 
