--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -103,6 +103,7 @@
         is good. That ends by itself: the other may stay full, or hold the
         step's most copies, for as long as its tasks run.
         """
+        step.failed_workers.forget_old(self._now)
         found = self._with_room(step)
         if not found or not step.failed_workers or not self._has_other(step):
             return found
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -11,11 +11,7 @@
 from collections.abc import Iterator
 
 from orchidrail.types import JobId, RunNumber, Seconds, TaskKey, WorkerId
-from orchidrail.work.failed_workers import (
-    LONGEST,
-    LONGEST_LASTING,
-    FailedWorkers,
-)
+from orchidrail.work.failed_workers import FailedWorkers
 from orchidrail.work.model import JobSpec, QueueSettings, StepSpec
 from orchidrail.work.permits import Permits
 from orchidrail.work.records import (
@@ -135,11 +131,8 @@
         #: Gang runs whose failure was counted; members share them.
         self.failed_runs: set[RunNumber] = set()
         self.permits = Permits()
-        lasting = self.spec.lasting
         #: Workers on which its tasks failed; others are tried first.
-        self.failed_workers = FailedWorkers(
-            LONGEST_LASTING if lasting else LONGEST,
-        )
+        self.failed_workers = FailedWorkers()
 
     @property
     def done(self) -> bool:
--- a/standins/tests/test_lasting.py
+++ b/standins/tests/test_lasting.py
@@ -89,3 +89,18 @@
         )
         load = CellLoad([listeners], workers=48, lanes=8, lasts=30)
         self.assert_all_back(load)
+
+    def test_a_task_is_back_on_a_full_cell(self) -> None:
+        """Room is where a run of the step has just failed, and only there."""
+        listeners = msgspec.structs.replace(
+            _LISTENERS,
+            per_s=0.1,
+            tasks=Draw(95),
+            work=Draw(20),
+            apart=0,
+            fails=0.3,
+            advice=_ADVICE,
+            good=0.3,
+        )
+        load = CellLoad([listeners], workers=40, cores=32, lanes=8, lasts=20)
+        self.assert_all_back(load)
