--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -30,7 +30,7 @@
     Seconds,
     WorkerId,
 )
-from orchidrail.work.job import Job
+from orchidrail.work.job import Job, StepState
 from orchidrail.work.model import AdviceCost, MemberInfo, StepSpec
 from orchidrail.work.records import TaskPhase
 from orchidrail.work.size import Size
@@ -44,6 +44,10 @@
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
 _COST = AdviceCost(0.5, 0.007, 1.5)
 _SOON = 0.05
+#: The advice service takes no more workers in one call.
+_MOST_IN_CALL = 100
+#: Tasks of a step that is wider than that.
+_WIDE = 130
 
 
 def _make_job(name: str, spec: StepSpec, priority: int, advice: bool) -> Job:
@@ -226,6 +230,56 @@
 
         self.play(scene)
 
+    async def ask_again(self, shard: _Scene, spec: StepSpec) -> StepState:
+        """Have a wide step wait all of whose tickets have run out."""
+        for number in range(_WIDE):
+            await shard.add_worker(f'w-{number}')
+        shard.desk.use_lanes([InstanceId('first'), InstanceId('second')])
+        job = _make_job('a' * 16, spec, 1, advice=True)
+        step = job.steps(0)[0]
+        every = list(shard.state.books_by_worker)
+        step.permits.learn(every, dict.fromkeys(every, 'old'), 0)
+        shard.add(job)
+        await asyncio.sleep(_SOON)
+        return step
+
+    def assert_placed(self, step: StepState) -> None:
+        phases = {task.phase for task in step.tasks}
+        self.assertEqual({TaskPhase.PLACED}, phases)
+
+    def test_no_call_names_more_workers_than_it_may(self) -> None:
+        """One with more would be refused each time, and its step never run."""
+
+        async def scene(shard: _Scene) -> None:
+            spec = StepSpec(_WIDE, Size(1000), most_per_worker=1)
+            step = await self.ask_again(shard, spec)
+            asked = [len(workers) for workers, _ in shard.questions]
+            self.assertLessEqual(max(asked), _MOST_IN_CALL)
+            self.assertEqual(_WIDE, sum(asked))
+            for number, _ in enumerate(asked):
+                await shard.answer(number, valid=1.5)
+            self.assert_placed(step)
+
+        self.play(scene)
+
+    def test_a_wide_gang_keeps_its_room_until_the_last_answer(self) -> None:
+        async def scene(shard: _Scene) -> None:
+            spec = StepSpec(_WIDE, Size(1000), gang=True, most_per_worker=1)
+            step = await self.ask_again(shard, spec)
+            calls = len(shard.questions)
+            for number in range(calls - 1):
+                await shard.answer(number, valid=1.5)
+            held = [
+                bool(books.held_by_step)
+                for books in shard.state.books_by_worker.values()
+            ]
+            self.assertEqual(_WIDE, sum(held))
+            await shard.answer(calls - 1, valid=1.5)
+            self.assert_placed(step)
+            self.assertEqual(calls, len(shard.questions))
+
+        self.play(scene)
+
     def test_a_task_that_waits_for_long_is_told_with_its_reasons(self) -> None:
         async def scene(shard: _Scene) -> None:
             await shard.add_worker('w-1')
