--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -21,8 +21,10 @@
 from orchidrail.work.size import Size
 from orchidrail.workers.port import Advice
 
-#: Most workers asked about in one call.
+#: Workers asked about in one call while others may do.
 _ASKED_AT_ONCE = 30
+#: Most workers that the service takes in one call.
+_MOST_IN_CALL = 100
 #: Fewer workers in one call make it hardly shorter: what a call takes for
 #: itself is that of about 70 workers on the users' sites.
 _LEAST_PART = 12
@@ -96,7 +98,7 @@
         most = _ASKED_AT_ONCE * parts
         about = unknown[: min(most, max(_ASKED_AT_ONCE, useful))]
         for part in _split(about, parts):
-            self._ask(rank, step, part)
+            self._ask(rank, step, part, part)
 
     def renew(
         self,
@@ -112,16 +114,20 @@
             books_by_worker[books.worker] = books
         for worker, size in kept_by_worker.items():
             books_by_worker[worker].hold(step.key, size)
-        self._ask(rank, step, list(books_by_worker.values()))
+        about = list(books_by_worker.values())
+        for part in _deal(about, math.ceil(len(about) / _MOST_IN_CALL)):
+            self._ask(rank, step, part, about if step.spec.gang else part)
 
     def _ask(
         self,
         rank: Rank,
         step: StepState,
         about: list[WorkerBooks],
+        held: list[WorkerBooks],
     ) -> None:
+        """Ask about some workers; then place on those whose room was kept."""
         self._note_asking(step, 1)
-        self._tasks.spawn(self._ask_about(rank, step, about))
+        self._tasks.spawn(self._ask_about(rank, step, about, held))
 
     def _note_asking(self, step: StepState, change: int) -> None:
         step.permits.asking += change
@@ -132,6 +138,7 @@
         rank: Rank,
         step: StepState,
         about: list[WorkerBooks],
+        held: list[WorkerBooks],
     ) -> None:
         workers = [books.worker for books in about]
         cost = step.job.queue.advice
@@ -152,7 +159,8 @@
                 self._learn(step, workers, advice)
         finally:
             self._note_asking(step, -1)
-            self._place_held(step, about)
+            if not step.spec.gang or not step.permits.asking:
+                self._place_held(step, held)
             self._state.wanted.set()
 
     def _learn(
@@ -168,13 +176,13 @@
         until = self._state.clock() + advice.valid
         step.permits.learn(workers, advice.ticket_by_worker, until)
 
-    def _place_held(self, step: StepState, about: list[WorkerBooks]) -> None:
+    def _place_held(self, step: StepState, kept: list[WorkerBooks]) -> None:
         """Place on room that was kept, before a pass gives it to others.
 
         A wide gang would otherwise lose part of it each time, and its other
-        tickets would run out meanwhile.
+        tickets would run out meanwhile. It waits for the last of its answers.
         """
-        held = [books for books in about if books.unhold(step.key)]
+        held = [books for books in kept if books.unhold(step.key)]
         now = self._state.clock()
         until = now + TICKET_MARGIN
         usable = [
@@ -204,5 +212,8 @@
     most_parts: int,
 ) -> list[list[WorkerBooks]]:
     """Deal workers out to several calls that are worth their while."""
-    parts = min(math.ceil(len(about) / _LEAST_PART), most_parts)
+    return _deal(about, min(math.ceil(len(about) / _LEAST_PART), most_parts))
+
+
+def _deal(about: list[WorkerBooks], parts: int) -> list[list[WorkerBooks]]:
     return [about[first::parts] for first in range(parts)]
