--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -11,6 +11,11 @@
 from collections.abc import Iterator
 
 from orchidrail.types import JobId, RunNumber, Seconds, TaskKey, WorkerId
+from orchidrail.work.failed_workers import (
+    LONGEST,
+    LONGEST_LASTING,
+    FailedWorkers,
+)
 from orchidrail.work.model import JobSpec, QueueSettings, StepSpec
 from orchidrail.work.permits import Permits
 from orchidrail.work.records import (
@@ -111,6 +116,11 @@
         self.oldest_run = RunNumber(row.run + 1) if judged else row.run
 
 
+def _waits_since(task: Task) -> Seconds:
+    """Return since when a task waits; it may not have been noted yet."""
+    return math.inf if task.waits_since is None else task.waits_since
+
+
 class StepState:
     """One step in one round of a job: the unit that is placed."""
 
@@ -125,8 +135,11 @@
         #: Gang runs whose failure was counted; members share them.
         self.failed_runs: set[RunNumber] = set()
         self.permits = Permits()
+        lasting = self.spec.lasting
         #: Workers on which its tasks failed; others are tried first.
-        self.failed_on: set[WorkerId] = set()
+        self.failed_workers = FailedWorkers(
+            LONGEST_LASTING if lasting else LONGEST,
+        )
 
     @property
     def done(self) -> bool:
@@ -134,12 +147,19 @@
         return all(task.phase is TaskPhase.DONE for task in self.tasks)
 
     def startable(self) -> list[Task]:
-        """Return the tasks that may be started now; of a gang all or none."""
+        """Return the tasks that may be started now; of a gang all or none.
+
+        Of tasks that last, those that have waited longest come first: where
+        fewer workers are permitted than there are tasks, those with low numbers
+        would else be back each time before the others have their turn.
+        """
         waiting = [
             task for task in self.tasks if task.phase is TaskPhase.WAITING
         ]
         if self.spec.gang and len(waiting) < len(self.tasks):
             return []
+        if self.spec.lasting:
+            waiting.sort(key=_waits_since)
         return waiting
 
     def next_run(self, tasks: list[Task]) -> RunNumber:
