--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -100,6 +100,9 @@
     left: Holding | None = None
     #: Whether its worker was found sound by it: it lasts, and worked on.
     sound: bool = False
+    #: Since when its answers take longer than its target; infinite if they
+    #: don't.
+    late_since: Seconds = math.inf
 
     @property
     def holding(self) -> Holding | None:
@@ -135,6 +138,15 @@
         run.progress_at = now
 
 
+def note_answers(run: PlacedRun, tail: Seconds, now: Seconds) -> None:
+    """Take how long the slowest answers of a run take, if it gives any."""
+    target = run.task.step.spec.target if run.task else 0
+    if not target or tail <= target:
+        run.late_since = math.inf
+    else:
+        run.late_since = min(run.late_since, now)
+
+
 def _urgent_share(run: PlacedRun) -> int:
     """Return the millicores that a run uses for an urgent queue."""
     if run.task is None or run.size is None:
@@ -179,6 +191,8 @@
         self.trials: set[RunKey] = set()
         self._unsized = 0
         self.pace = Pace.USUAL
+        #: Until then nothing that fills is put beside what serves here.
+        self.parted_until: Seconds = 0
         #: False once the worker's entry is gone for good: it has left, or
         #: leaves without having said so.
         self.listed = True
--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -14,6 +14,7 @@
 
 from orchidrail.shard.books import TaskRole, WorkerBooks, role_of
 from orchidrail.shard.placing import suits
+from orchidrail.shard.roles import may_share, waits_too_long
 from orchidrail.types import Seconds, ServiceName, WorkerId
 from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
@@ -149,18 +150,36 @@
             and not self._avoided(step, books)
             and suits(step.spec, books)
         ]
+        if role_of(step.spec) is not TaskRole.PLAIN:
+            suitable = self._beside(step, suitable)
         return sorted(suitable, key=attrgetter('worker'))
 
     def _with_room(self, step: StepState) -> list[WorkerBooks]:
+        """Return the workers with room, beside tasks that the step bears."""
         size: Size = step.spec.charged
-        mixes = role_of(step.spec) is TaskRole.PLAIN
-        return [
+        found = [
             books
             for books in self._with_processor_time(step, size.millicores)
-            if size.fits(books.free)
-            and books.worker not in self._kept
-            and (mixes or books.bears(step.spec))
+            if size.fits(books.free) and books.worker not in self._kept
         ]
+        if role_of(step.spec) is TaskRole.PLAIN:
+            return found
+        apart = [books for books in found if books.bears(step.spec)]
+        return apart if _has_copies(step, apart) else self._beside(step, found)
+
+    def _beside(
+        self,
+        step: StepState,
+        found: list[WorkerBooks],
+    ) -> list[WorkerBooks]:
+        """Leave out those beside whose tasks a step's are not put."""
+        if waits_too_long(step, self._now):
+            return [books for books in found if self._bears(step, books)]
+        return [books for books in found if books.bears(step.spec)]
+
+    def _bears(self, step: StepState, books: WorkerBooks) -> bool:
+        """Whether a step that waits too long is put beside what runs there."""
+        return books.bears(step.spec) or may_share(step, books, self._now)
 
     def _with_processor_time(
         self,
@@ -218,3 +237,12 @@
 def _sort_by_room(of_service: list[WorkerBooks]) -> _ByRoom:
     ordered = sorted(of_service, key=lambda books: books.free.millicores)
     return _ByRoom(ordered, [books.free.millicores for books in ordered])
+
+
+def _has_copies(step: StepState, found: list[WorkerBooks]) -> bool:
+    """Whether any of the workers takes a task of a step."""
+    spec = step.spec
+    return any(
+        books.copies(step.key, spec.charged, spec.most_per_worker) > 0
+        for books in found
+    )
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from orchidrail.shard.books import TaskRole, WorkerBooks, role_of
+from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.pace import Pace
 from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import StepSpec
@@ -25,9 +25,7 @@
     """Whether the worker is of the kind and size that the step needs."""
     if spec.label and spec.label not in books.entry.labels:
         return False
-    if not spec.charged.fits(books.entry.capacity):
-        return False
-    return role_of(spec) is TaskRole.PLAIN or books.bears(spec)
+    return spec.charged.fits(books.entry.capacity)
 
 
 def choose_workers(
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -15,11 +15,13 @@
     PROVEN_AFTER,
     PlacedRun,
     WorkerBooks,
+    note_answers,
     note_progress,
 )
 from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.earlier_runs import EarlierRuns
 from orchidrail.shard.placing import Placement
+from orchidrail.shard.roles import part
 from orchidrail.shard.run_ends import RunEnds
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
@@ -37,6 +39,7 @@
 _log = structlog.get_logger()
 _STOP_AGAIN: Seconds = 0.3
 _STOP_TRIES = 30
+_MILLIS = 1000
 #: Results after which the worker has certainly not started the run.
 _NOT_STARTED = frozenset(
     (
@@ -174,7 +177,7 @@
         for ended in listing.ended:
             seen.add(ended.key)
             self._ends.end(books, ended)
-        self._look_for_stalled(books)
+        self._look_for_trouble(books)
         self._take_gone(books, listing, seen, sent_at)
         if self._ends.settle_all() or listing.ended:
             self._state.wanted.set()
@@ -376,6 +379,10 @@
                 return
             await asyncio.sleep(_STOP_AGAIN)
 
+    def _look_for_trouble(self, books: WorkerBooks) -> None:
+        self._look_for_stalled(books)
+        self._look_for_late_answers(books)
+
     def _look_for_stalled(self, books: WorkerBooks) -> None:
         """Close a worker on which runs stand still, and run them elsewhere.
 
@@ -395,12 +402,24 @@
                 run.task.step.failed_workers.note_failure(books.worker, now)
                 self.stop(books, run)
 
+    def _look_for_late_answers(self, books: WorkerBooks) -> None:
+        """Stop what fills beside tasks whose answers are late."""
+        for run in part(books, self._state.clock()):
+            if not run.stopping:
+                _log.info(
+                    'stopped for late answers',
+                    task=run.key.task,
+                    worker=books.worker,
+                )
+                self.stop(books, run)
+
     def _see_active(self, books: WorkerBooks, active: ActiveRun) -> None:
         run = books.run_by_key.get(active.key)
         if run is None:
             run = self._earlier.adopt(books, active)
         now = self._state.clock()
         note_progress(run, active.share_done, now)
+        note_answers(run, active.load / _MILLIS, now)
         if run.confirmed_at == math.inf:
             run.confirmed_at = now
         task = run.task
--- a/orchidrail/shard/tests/test_placing.py
+++ b/orchidrail/shard/tests/test_placing.py
@@ -96,10 +96,10 @@
         key = RunKey(TaskKey(f'{step.key}.0'), RunNumber(1))
         run = PlacedRun(key, Size(10), step.tasks[0], 0)
         books.charge(run, step.key)
-        self.assertFalse(suits(filling, books))
-        self.assertTrue(suits(serving, books))
+        self.assertFalse(books.bears(filling))
+        self.assertTrue(books.bears(serving))
         books.release(key)
-        self.assertTrue(suits(filling, books))
+        self.assertTrue(books.bears(filling))
 
     def test_urgent_work_leaves_slower_workers_to_other_work(self) -> None:
         slow, usual = make_books('slow'), make_books('usual', cores=8)
--- /dev/null
+++ b/orchidrail/shard/tests/test_roles.py
@@ -0,0 +1,149 @@
+"""Tests of tasks that serve and tasks that fill on one worker."""
+
+from __future__ import annotations
+
+import asyncio
+
+from testtools import TestCase
+
+from orchidrail.shard.books import PlacedRun, WorkerBooks
+from orchidrail.shard.open_workers import OpenWorkers
+from orchidrail.shard.tests.test_open_workers import advised
+from orchidrail.shard.tests.test_placing import make_books, make_step
+from orchidrail.shard.tests.test_runs import Shard, ShardTestCase
+from orchidrail.types import JobId, RunNumber, Seconds
+from orchidrail.work.job import StepState
+from orchidrail.work.model import StepSpec
+from orchidrail.work.size import Size
+from orchidrail.work.tests.test_job import make_job
+from orchidrail.workers.port import ActiveRun, RunKey
+
+_SOON: Seconds = 0.12
+_NOW: Seconds = 100.0
+_LONG: Seconds = 2.0
+_SERVING = StepSpec(1, Size(1000), lasting=True, target=0.1)
+_FILLING = StepSpec(1, Size(1000), fills=True)
+_FILLING_MAY_MISS = StepSpec(
+    1,
+    Size(1000),
+    fills=True,
+    lasting=True,
+    may_miss=1,
+)
+_IN_TIME, _LATE = 80, 120
+
+
+def _holding(spec: StepSpec) -> WorkerBooks:
+    """Return the books of a worker that runs a task."""
+    books = make_books('w')
+    task = make_step(spec).tasks[0]
+    key = RunKey(task.key, RunNumber(1))
+    books.charge(PlacedRun(key, spec.charged, task, 0), task.step.key)
+    return books
+
+
+def _waiting(spec: StepSpec, waited: Seconds) -> StepState:
+    step = make_step(spec)
+    step.tasks[0].waits_since = _NOW - waited
+    return step
+
+
+class SharingTest(TestCase):
+    def with_room(
+        self,
+        spec: StepSpec,
+        *every: WorkerBooks,
+        waited: Seconds = _LONG,
+    ) -> list[str]:
+        """Return where a task goes that has waited for some time."""
+        workers = OpenWorkers(list(every), _NOW)
+        found = workers.with_room(_waiting(spec, waited))
+        return [books.worker for books in found]
+
+    def test_both_kinds_are_kept_apart_at_first(self) -> None:
+        for spec, other in ((_SERVING, _FILLING), (_FILLING, _SERVING)):
+            books = _holding(other)
+            self.assertEqual([], self.with_room(spec, books, waited=0))
+            self.assertEqual(['w'], self.with_room(spec, books))
+
+    def test_they_stay_apart_while_another_worker_has_room(self) -> None:
+        found = self.with_room(_FILLING, _holding(_SERVING), make_books('v'))
+        self.assertEqual(['v'], found)
+
+    def test_what_may_not_be_stopped_is_not_put_beside(self) -> None:
+        self.assertEqual(
+            [],
+            self.with_room(_FILLING_MAY_MISS, _holding(_SERVING)),
+        )
+        self.assertEqual(
+            [],
+            self.with_room(_SERVING, _holding(_FILLING_MAY_MISS)),
+        )
+
+    def test_nothing_is_put_beside_where_answers_were_late(self) -> None:
+        books = _holding(_SERVING)
+        books.parted_until = _NOW + 1
+        self.assertEqual([], self.with_room(_FILLING, books))
+
+    def test_a_step_that_waits_too_long_asks_about_such_workers(self) -> None:
+        workers = OpenWorkers([_holding(_SERVING)], _NOW)
+        step = advised(_FILLING)
+        self.assertEqual([], workers.unknown(step))
+        step.tasks[0].waits_since = _NOW - _LONG
+        self.assertEqual(1, len(workers.unknown(step)))
+
+
+class LateAnswersTest(ShardTestCase):
+    async def start_both(self, shard: Shard) -> tuple[RunKey, RunKey]:
+        """Have a task that serves and one that fills share the worker."""
+        for number, spec in enumerate((_SERVING, _FILLING)):
+            job = make_job(spec)
+            job.job_id = JobId(f'{number:016x}')
+            shard.launch(shard.add(job))
+            await asyncio.sleep(_SOON)
+        serving, filling = (order.key for order in shard.worker.starts)
+        return serving, filling
+
+    async def answer_in(
+        self,
+        shard: Shard,
+        serving: RunKey,
+        *tails: int,
+    ) -> None:
+        """List the tail of the answers' times, a while between each two."""
+        for tail in tails:
+            shard.books.run_by_key[serving].late_since -= 1
+            listed = ActiveRun(serving, '', 100, tail)
+            shard.worker.active[serving] = listed
+            await shard.look()
+            await asyncio.sleep(_SOON)
+
+    def test_what_fills_is_stopped_if_answers_stay_late(self) -> None:
+        async def scene(shard: Shard) -> None:
+            serving, filling = await self.start_both(shard)
+            await self.answer_in(shard, serving, _IN_TIME, _LATE)
+            self.assertEqual([], shard.worker.stops)
+            await self.answer_in(shard, serving, _LATE)
+            self.assertEqual([filling], shard.worker.stops)
+            self.assertGreater(shard.books.parted_until, 0)
+
+        self.play(scene)
+
+    def test_answers_that_are_in_time_again_stop_nothing(self) -> None:
+        async def scene(shard: Shard) -> None:
+            serving, _ = await self.start_both(shard)
+            await self.answer_in(shard, serving, _LATE, _IN_TIME, _LATE)
+            self.assertEqual([], shard.worker.stops)
+
+        self.play(scene)
+
+    def test_what_serves_alone_is_not_stopped(self) -> None:
+        async def scene(shard: Shard) -> None:
+            shard.launch(shard.add(make_job(_SERVING)))
+            await asyncio.sleep(_SOON)
+            serving = shard.worker.starts[0].key
+            await self.answer_in(shard, serving, _LATE, _LATE, _LATE)
+            self.assertEqual([], shard.worker.stops)
+            self.assertEqual(0, shard.books.parted_until)
+
+        self.play(scene)
