--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -13,6 +13,7 @@
 from orchidrail.shard.placing import Placement, choose_workers
 from orchidrail.shard.question_line import Question
 from orchidrail.shard.ranking import Rank
+from orchidrail.shard.roles import gets_on
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
@@ -191,6 +192,8 @@
             if books.open(now)
             and step.permits.fresh(books.worker, until)
             and books.worker in step.permits.good
+            # Keeping room does not keep a task of another role away.
+            and gets_on(step, books, now)
         ]
         tasks = self._state.ledger.allow(step, step.startable())
         if not usable or not tasks:
--- a/orchidrail/shard/roles.py
+++ b/orchidrail/shard/roles.py
@@ -35,6 +35,13 @@
     return now - longest >= _KEPT_APART_FOR
 
 
+def gets_on(step: StepState, books: WorkerBooks, now: Seconds) -> bool:
+    """Whether a step's tasks may be put beside what runs on a worker now."""
+    if books.bears(step.spec):
+        return True
+    return waits_too_long(step, now) and may_share(step, books, now)
+
+
 def may_share(step: StepState, books: WorkerBooks, now: Seconds) -> bool:
     """Whether a step that waits too long may be put beside the other kind.
 
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -174,6 +174,30 @@
 
         self.play(scene)
 
+    def test_what_serves_is_not_put_beside_what_fills_when_tickets_come(
+        self,
+    ) -> None:
+        """Room was kept for it, and a task that fills takes none."""
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            shard.desk.use_lanes([InstanceId('lane')])
+            serving = StepSpec(1, Size(20_000, 1), lasting=True, target=0.1)
+            serves = _make_job('a' * 16, serving, 1, advice=True)
+            shard.add(serves)
+            await asyncio.sleep(_SOON)
+            # The tickets run out at once, so they are asked for again.
+            await shard.answer(0, valid=0)
+            filling = StepSpec(1, Size(4000, 1), fills=True)
+            fills = _make_job('b' * 16, filling, 1, advice=False)
+            shard.add(fills)
+            await asyncio.sleep(_SOON)
+            await shard.answer(1, valid=1.5)
+            phases = [job.steps(0)[0].tasks[0].phase for job in (serves, fills)]
+            self.assertEqual([TaskPhase.WAITING, TaskPhase.PLACED], phases)
+
+        self.play(scene)
+
     def test_a_step_asks_through_several_lanes_if_there_are_many(self) -> None:
         async def scene(shard: _Scene) -> None:
             for number in range(24):
