--- a/soak/tenants.py
+++ b/soak/tenants.py
@@ -85,6 +85,13 @@
             else:
                 self._change_limit()
             self.write()
+        self._raise_limit()
+
+    def _raise_limit(self) -> None:
+        """Let all that was accepted run: a gang may need the high limit."""
+        if self._random is not None:
+            self._maximum_by_tenant['large'] = max(_LIMITS)
+            self.write()
 
     def take_all_keys(self, tenant: str) -> list[str]:
         """Take all keys of a tenant away; return them."""
