--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,6 +43,8 @@
     text = (
         f'seed {seed}: {outcome.jobs} jobs, {outcome.accepted} accepted, '
         f'{sum(outcome.faults.values())} faults, '
+        f'{outcome.lasting} lasting ({outcome.lasting_failures} failed runs, '
+        f'away for {outcome.longest_away:.1f} s at the most), '
         f'{len(outcome.broken)} broken'
     )
     return '\n    '.join([text, *outcome.broken[:5]])
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -81,7 +81,7 @@
         """Ask for every accepted job until it has ended, or time is up."""
         until = time.monotonic() + within
         while time.monotonic() < until and self._open_jobs():
-            await asyncio.gather(*(self._ask(job) for job in self._open_jobs()))
+            await asyncio.gather(*(self.ask(job) for job in self._open_jobs()))
             await asyncio.sleep(_ASK_EVERY)
 
     async def close(self) -> None:
@@ -115,13 +115,13 @@
     async def _live_through(self, job: SentJob) -> None:
         if job.tenant and self._tenants.random() < _FALSE_KEYS:
             await self._try_false_key(job)
-        await self._submit(job)
+        await self.submit(job)
         if job.accepted and self._random.random() < 0.06:
             await asyncio.sleep(self._random.uniform(0, 1))
-            await self._cancel(job)
+            await self.cancel(job)
         while job.accepted and not job.cancel_sent and not job.over:
             await asyncio.sleep(_ASK_EVERY)
-            await self._ask(job)
+            await self.ask(job)
 
     async def _try_false_key(self, job: SentJob) -> None:
         """Ask for a job's queue with a key that nobody ever had."""
@@ -143,13 +143,15 @@
                     detail = f'{key} got {status} at {address}'
                     self._ledger.breach('CONFIG', detail)
 
-    async def _submit(self, job: SentJob) -> None:
+    async def submit(self, job: SentJob) -> None:
+        """Hand a job in, a few times at the most."""
         body = {'spec': job.text, 'phases': job.steps}
         for _ in range(_TRIES):
             status = await self._call('POST', job, body)
             self.endings[f'submit {status}'] += 1
             if status == 200:
                 job.accepted = True
+                job.accepted_at = time.monotonic()
                 return
             refused = status in {429, 503, -1}
             # The key that was read before may have been taken away since.
@@ -159,14 +161,19 @@
             job.doubtful = job.doubtful or not refused
             await asyncio.sleep(0.2)
 
-    async def _cancel(self, job: SentJob) -> None:
+    async def cancel(self, job: SentJob) -> int:
+        """Try to cancel a job once; return the status."""
         job.cancel_sent = True
+        job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
         status = await self._call('DELETE', job)
         self.endings[f'cancel {status}'] += 1
-        if status in {200, 410}:
+        # A job that nobody knows may still be held up on its way.
+        if status == 200 or (status == 410 and job.accepted):
             job.cancelled_at = time.monotonic()
+        return status
 
-    async def _ask(self, job: SentJob) -> None:
+    async def ask(self, job: SentJob) -> None:
+        """Ask for the state of a job once."""
         await self._call('GET', job)
 
     async def _call(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,9 @@
 _CRASH_AGAIN = (0.01, 0.3, 1.5)
 #: Share of the entries by another writer that replace a worker's.
 _OVERWRITES = 0.3
+#: Seconds for which workers fail all that they start, and how many at once.
+_BROKEN_FOR = (2.0, 4.0)
+_MOST_BROKEN = 3
 _FOREIGN = (
     b'\xff\xfe',
     b'[]',
@@ -103,6 +106,17 @@
             else:
                 worker.overwrite_entry(raw, f'x-{random.randint(1, 9)}')
 
+    async def break_workers(self, until: float, random: Random | None) -> None:
+        """Have some workers fail all that they start, now and then."""
+        while random is not None and time.monotonic() < until:
+            await asyncio.sleep(random.uniform(1, 4))
+            self.count['break_workers'] += 1
+            seconds = random.uniform(*_BROKEN_FOR)
+            broken = random.randint(1, _MOST_BROKEN)
+            for worker in random.sample(self._workers, broken):
+                worker.break_for(seconds)
+            await asyncio.sleep(seconds)
+
     def _some_time(self, most: float = 5) -> float:
         return self._random.uniform(0.3, most)
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -13,6 +13,8 @@
 STARTS_TOO_MANY = 3
 #: Crashes of a task after which its job may be given up.
 LEAST_CRASHES = 2
+#: Ends `failed` of a task, but for one that lasts, that fail its job.
+MOST_ATTEMPTS = 3
 #: Seconds after an acknowledged cancel in which starts may still come.
 CANCEL_WITHIN = 3.0
 
@@ -27,22 +29,44 @@
     #: Whether its first task crashes each worker that starts it.
     crashing: bool = False
     accepted: bool = False
+    accepted_at: float | None = None
     #: Whether some try may have had an effect.
     doubtful: bool = False
     cancel_sent: bool = False
+    cancel_sent_at: float | None = None
     cancelled_at: float | None = None
     state: str = ''
     tenant: str = ''
+    #: Whether it was rightly shown as failed, as its attempts were spent.
+    spent: bool = False
+
+    @property
+    def lasting(self) -> bool:
+        """Whether its tasks run until it is cancelled."""
+        return any(step.get('longRunning') for step in self.steps)
+
+    @property
+    def tasks(self) -> list[str]:
+        """The keys of its tasks."""
+        return [
+            f'{self.job_id}.0.{number}.{index}'
+            for number, step in enumerate(self.steps)
+            for index in range(step['count'])
+        ]
+
+    def step_of(self, task: str) -> dict[str, Any]:
+        """Return the step of one of its tasks."""
+        return self.steps[int(task.split('.')[2])]
 
     def cpu_of(self, task: str) -> int:
         """Return what one of its tasks asks for, in thousandths of a core."""
-        step = self.steps[int(task.split('.')[2])]
-        return int(step.get('cpu', 0))
+        return int(self.step_of(task).get('cpu', 0))
 
     @property
     def over(self) -> bool:
         """Whether it is shown as what it should end as."""
-        return self.state == ('failed' if self.crashing else 'completed')
+        expected = 'failed' if self.crashing else 'completed'
+        return self.spent or self.state == expected
 
 
 @dataclass
@@ -55,6 +79,10 @@
     #: Whether the end `done` was acknowledged.
     done_noted: bool = False
     failures: int = 0
+    #: Those of them that were acknowledged.
+    failures_noted: int = 0
+    #: Time of the steady clock at which its last run ended.
+    ended_at: float | None = None
     #: Workers that it has crashed, and starts after too many of them.
     crashes: int = 0
     late_starts: int = 0
@@ -104,6 +132,8 @@
             self.breach('TWICE', f'{key} on {worker} and {task.running}')
         if task.done_noted:
             self.breach('TWICE', f'{key} on {worker} after its noted end')
+        if not job.lasting and task.failures_noted >= MOST_ATTEMPTS:
+            self.breach('BUDGET', f'{key} after {task.failures} failures')
         for earlier in job.steps[int(step)].get('afterRevision', ()):
             if not self._step_done(job, earlier):
                 self.breach('ORDER', f'{key} before step {earlier}')
@@ -121,11 +151,25 @@
         task.running.discard(worker)
         task.done = task.done or how == 'done'
         task.failures += how == 'failed'
+        task.ended_at = time.monotonic()
 
     def note_acknowledged(self, key: str, how: str) -> None:
         """Take that an end was acknowledged."""
-        if how == 'done':
-            self.task_by_key[key].done_noted = True
+        task = self.task_by_key[key]
+        task.done_noted = task.done_noted or how == 'done'
+        task.failures_noted += how == 'failed'
+
+    def away_since(self, key: str) -> float | None:
+        """Return since when a task of an accepted job is not at work.
+
+        It is None while it runs; one that never ran is away since its job was
+        accepted.
+        """
+        task = self.task_by_key[key]
+        if task.running:
+            return None
+        job = self.job_by_id[key.partition('.')[0]]
+        return task.ended_at or job.accepted_at
 
     def note_state(self, job: SentJob, status: int, state: str) -> None:
         """Judge what a caller is shown of a job."""
@@ -134,7 +178,9 @@
         if state == 'completed' and not self._all_done(job):
             self.breach('MIXED', f'{job.job_id} shown as completed too early')
         given_up = job.crashing and state == 'failed'
-        if given_up and self._most_crashes(job) < LEAST_CRASHES:
+        if state == 'failed' and self._attempts_spent(job):
+            given_up, job.spent = True, True
+        elif given_up and self._most_crashes(job) < LEAST_CRASHES:
             self.breach('LOST', f'{job.job_id} given up too early')
         ended = state in {'failed', 'cancelled'} and not given_up
         if ended and not job.cancel_sent:
@@ -144,9 +190,7 @@
     def judge_end(self) -> None:
         """Judge what must hold once everything is calm again."""
         for job in self.job_by_id.values():
-            started = any(
-                self.task_by_key[key].starts for key in _task_keys(job)
-            )
+            started = any(self.task_by_key[key].starts for key in job.tasks)
             if started and not job.accepted and not job.doubtful:
                 self.breach('REFUSED', f'{job.job_id} ran all the same')
             owed = job.accepted and not job.cancel_sent
@@ -154,7 +198,12 @@
                 self.breach('LOST', f'{job.job_id} ends as {job.state!r}')
 
     def _most_crashes(self, job: SentJob) -> int:
-        return max(self.task_by_key[key].crashes for key in _task_keys(job))
+        return max(self.task_by_key[key].crashes for key in job.tasks)
+
+    def _attempts_spent(self, job: SentJob) -> bool:
+        return not job.lasting and any(
+            self.task_by_key[key].failures >= MOST_ATTEMPTS for key in job.tasks
+        )
 
     def _step_done(self, job: SentJob, number: int) -> bool:
         count = job.steps[number]['count']
@@ -165,11 +214,3 @@
         return all(
             self._step_done(job, number) for number in range(len(job.steps))
         )
-
-
-def _task_keys(job: SentJob) -> list[str]:
-    return [
-        f'{job.job_id}.0.{number}.{index}'
-        for number, step in enumerate(job.steps)
-        for index in range(step['count'])
-    ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,11 +19,13 @@
 from soak.callers import Callers
 from soak.faults import Faults
 from soak.http import serve
+from soak.lasting import LastingCallers
 from soak.ledger import Ledger
 from soak.proxy import Proxy
 from soak.store import StoreStandIn
 from soak.system import Instance
 from soak.tenants import Operator
+from soak.watch import LastingWatch
 from soak.workers import WorkerStandIn
 
 _ZONES = 3
@@ -35,6 +37,9 @@
 _START_WITHIN = 15.0
 _PER_SECOND = 6.0
 _SETTLE = 40.0
+#: Seconds of calm in which tasks that last are to be at work.
+_CALM = (14.0, 18.0)
+_LOOK_EVERY = 0.1
 #: Calm after which a machine is in touch, and time to apply a configuration.
 _IN_TOUCH, _APPLIES_WITHIN = 3.0, 3.0
 _CONFIG = {
@@ -63,6 +68,11 @@
     accepted: int
     faults: Counter[str]
     endings: Counter[str]
+    lasting: int
+    #: Ends `failed` of tasks that last.
+    lasting_failures: int
+    #: Seconds that such a task was away at the most, with room, in calm.
+    longest_away: float
 
 
 class Soak:
@@ -78,7 +88,8 @@
         For settings files and logs.
     crashing : bool
         Whether some jobs crash workers, rooms shrink, workers keep their
-        names when they start again, and others write entries.
+        names when they start again, others write entries, some jobs last,
+        and some workers fail what they start.
     """
 
     def __init__(
@@ -93,6 +104,9 @@
         self._crashing = Random(f'crashing {seed}') if crashing else None
         self._returns = Random(f'returns {seed}') if crashing else None
         self._foreign = Random(f'foreign {seed}') if crashing else None
+        self._lasting = Random(f'lasting {seed}') if crashing else None
+        self._broken = Random(f'broken {seed}') if crashing else None
+        self._lasting_calls = Random(f'lasting calls {seed}')
         self.ledger = Ledger()
         self._tenants = Random(f'tenants {seed}')
         self._network = f'127.{slot}'
@@ -116,9 +130,11 @@
                 self._store,
                 self.ledger,
                 gangs,
+                seed,
             )
             for number in range(_WORKERS)
         ]
+        self._watch = LastingWatch(self.ledger, self._workers)
         self._links = [
             Proxy(functools.partial(self._worker_at, number))
             for number in range(_WORKERS)
@@ -141,16 +157,14 @@
         """Run faults for some seconds, then settle and judge."""
         async with AsyncExitStack() as stack:
             await self._open(stack)
-            addresses = [instance.callers for instance in self._instances]
-            callers = Callers(
-                addresses,
+            callers = self._make_callers(self._random, self._crashing)
+            lasting = LastingCallers(
+                self._make_callers(self._lasting_calls, None),
                 self.ledger,
-                self._random,
-                self._crashing,
-                self._operator,
-                self._tenants,
+                self._lasting,
             )
             stack.push_async_callback(callers.close)
+            stack.push_async_callback(lasting.close)
             await self._wait_until_ready()
             faults = Faults(
                 self._instances,
@@ -159,26 +173,81 @@
                 self._random,
                 self._returns,
             )
+            watching = asyncio.create_task(self._look())
+            stack.callback(watching.cancel)
             until = time.monotonic() + seconds
             await asyncio.gather(
                 callers.run(until + 2, per_second),
-                faults.run(until),
-                faults.shrink_rooms(until, self._crashing),
-                faults.write_entries(until, self._foreign),
-                self._operator.work(until),
+                lasting.run(),
+                self._disturb(faults, lasting, until),
             )
             await callers.settle(_SETTLE)
             if self._operator.keys_by_tenant:
                 await self._take_keys_away(callers)
             self.ledger.judge_end()
-            jobs = self.ledger.job_by_id.values()
-            return Outcome(
-                self.ledger.broken,
-                len(jobs),
-                sum(job.accepted for job in jobs),
-                faults.count,
-                callers.endings,
-            )
+            if watching.done():
+                watching.result()
+            return self._sum_up(faults, callers)
+
+    async def _disturb(
+        self,
+        faults: Faults,
+        lasting: LastingCallers,
+        until: float,
+    ) -> None:
+        """Have faults act until a time of the steady clock, then be calm."""
+        await asyncio.gather(
+            faults.run(until),
+            faults.shrink_rooms(until, self._crashing),
+            faults.write_entries(until, self._foreign),
+            faults.break_workers(until, self._broken),
+            self._operator.work(until),
+        )
+        if self._lasting is not None:
+            await self._be_calm(self._lasting.uniform(*_CALM))
+        lasting.leave()
+
+    async def _be_calm(self, seconds: float) -> None:
+        """Let time pass without faults, once all are back."""
+        try:
+            await self._wait_until_ready()
+        except TimeoutError as error:
+            self.ledger.breach('RECOVER', str(error))
+        self._watch.calm_since = time.monotonic()
+        await asyncio.sleep(seconds)
+
+    async def _look(self) -> None:
+        while True:
+            self._watch.look(time.monotonic())
+            await asyncio.sleep(_LOOK_EVERY)
+
+    def _make_callers(self, random: Random, crashing: Random | None) -> Callers:
+        return Callers(
+            [instance.callers for instance in self._instances],
+            self.ledger,
+            random,
+            crashing,
+            self._operator,
+            self._tenants,
+        )
+
+    def _sum_up(self, faults: Faults, callers: Callers) -> Outcome:
+        jobs = self.ledger.job_by_id.values()
+        lasting = [job for job in jobs if job.lasting]
+        return Outcome(
+            self.ledger.broken,
+            len(jobs),
+            sum(job.accepted for job in jobs),
+            faults.count,
+            callers.endings,
+            len(lasting),
+            sum(
+                self.ledger.task_by_key[task].failures
+                for job in lasting
+                for task in job.tasks
+            ),
+            self._watch.longest,
+        )
 
     async def _take_keys_away(self, callers: Callers) -> None:
         """Take a tenant's keys away in calm; every machine must heed it."""
--- a/soak/tenants.py
+++ b/soak/tenants.py
@@ -22,6 +22,9 @@
 #: were not in touch are, and then apply it.
 _APPLIED_WITHIN = 8.0
 _KEYS = 2
+#: A tenant whose key stays, and that has no limit.
+STEADY = 'steady'
+_STEADY_KEY = 'key-steady'
 
 
 class Operator:
@@ -72,7 +75,7 @@
                     'maximum': {'cpu': self._maximum_by_tenant[tenant]},
                 }
                 for tenant, keys in self.keys_by_tenant.items()
-            ]
+            ] + [{'name': STEADY, 'apiKeys': [_STEADY_KEY]}]
         raw = json.dumps(self._document).encode()
         self._store.put('keyed.op', 'config', raw)
 
@@ -107,12 +110,14 @@
 
     def key_of(self, tenant: str) -> str:
         """Return the key that is good for longest."""
+        if tenant == STEADY:
+            return _STEADY_KEY
         keys = self.keys_by_tenant.get(tenant)
         return keys[-1] if keys else ''
 
     def note_start(self, tenant: str, cpu: int) -> None:
         """Judge a start by the highest limit that may be in force."""
-        if not tenant:
+        if tenant in {'', STEADY}:
             return
         self._used_by_tenant[tenant] += cpu
         since = time.monotonic() - _APPLIED_WITHIN
--- a/soak/tests/test_ledger.py
+++ b/soak/tests/test_ledger.py
@@ -86,3 +86,32 @@
         self.job.accepted = True
         self.ledger.judge_end()
         self.assert_broken('LOST')
+
+    def fail_runs(self, times: int) -> None:
+        for number in range(times):
+            self.ledger.note_start(_TASK, 'text', f'w-{number}')
+            self.ledger.note_end(_TASK, f'w-{number}', 'failed')
+            self.ledger.note_acknowledged(_TASK, 'failed')
+
+    def test_a_job_that_is_given_up_before_its_attempts_are_spent(self) -> None:
+        self.fail_runs(2)
+        self.ledger.note_state(self.job, 200, 'failed')
+        self.assert_broken('LOST')
+
+    def test_a_job_whose_attempts_are_spent_may_be_given_up(self) -> None:
+        self.job.accepted = True
+        self.fail_runs(3)
+        self.ledger.note_state(self.job, 200, 'failed')
+        self.ledger.judge_end()
+        self.assertEqual([], self.ledger.broken)
+
+    def test_a_start_after_all_attempts(self) -> None:
+        self.fail_runs(4)
+        self.assert_broken('BUDGET')
+
+    def test_a_job_that_lasts_has_no_attempts_to_spend(self) -> None:
+        self.job.steps = [{'count': 1, 'longRunning': True}]
+        self.fail_runs(4)
+        self.assertEqual([], self.ledger.broken)
+        self.ledger.note_state(self.job, 200, 'failed')
+        self.assert_broken('LOST')
--- /dev/null
+++ b/soak/tests/test_workers.py
@@ -0,0 +1,69 @@
+"""Tests that the soak's workers fail and last as they are told to."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from testtools import TestCase
+
+from soak.ledger import Ledger, SentJob
+from soak.store import StoreStandIn
+from soak.workers import WorkerStandIn
+
+_JOB = 'a' * 16
+_RUNS = 400
+_LONG_ENOUGH = 100.0
+
+
+class WorkerTest(TestCase):
+    def start(self, step: dict[str, Any], runs: int = 1) -> None:
+        """Start the tasks of a step, each with processor time of its own."""
+        self.ledger = Ledger()
+        self.worker = WorkerStandIn(0, 'w:1', StoreStandIn(), self.ledger, {})
+        steps = [{'count': runs, 'cpu': 1, 'estimatedMs': 100, **step}]
+        job = SentJob(_JOB, 'text', steps)
+        self.ledger.job_by_id[_JOB] = job
+        if step.get('broken'):
+            self.worker.break_for(1)
+        for task in job.tasks:
+            order = {'taskId': task, 'runId': 1, 'spec': 'text'}
+            deadline = self.worker._clock_ms() + 1000
+            self.worker._start({**order, 'deadlineMs': deadline})
+        self.worker._lease_ends = time.monotonic() + 2 * _LONG_ENOUGH
+
+    def pass_time(self) -> list[str]:
+        """Let much time pass; return how runs ended."""
+        self.worker._advance(_LONG_ENOUGH, time.monotonic() + _LONG_ENOUGH)
+        return [how for _, _, _, how, _ in self.worker._ended]
+
+    def test_a_tenth_of_the_runs_that_last_fails(self) -> None:
+        self.start({'longRunning': True}, _RUNS)
+        endings = self.pass_time()
+        self.assertEqual({'failed'}, set(endings))
+        self.assertAlmostEqual(0.1, len(endings) / _RUNS, delta=0.04)
+
+    def test_the_other_runs_end_as_done(self) -> None:
+        self.start({}, _RUNS)
+        self.assertEqual({'done'}, set(self.pass_time()))
+
+    def test_a_broken_worker_fails_all_that_it_starts(self) -> None:
+        self.start({'broken': True}, _RUNS)
+        self.assertEqual(['failed'] * _RUNS, self.pass_time())
+
+    def test_room_is_what_runs_copies_and_labels_leave(self) -> None:
+        self.start({'cpu': 5000, 'antiAffinity': 3}, 2)
+        key = f'{_JOB}.0.0'
+        step = {'cpu': 1000}
+        self.assertEqual(6, self.worker.rooms_for('b.0.0', step))
+        self.assertEqual(6, self.worker.rooms_for(key, step))
+        step['antiAffinity'] = 3
+        self.assertEqual(1, self.worker.rooms_for(key, step))
+        elsewhere = step | {'requirements': 'r-1'}
+        self.assertEqual(0, self.worker.rooms_for(key, elsewhere))
+
+    def test_a_start_past_its_copies_or_without_its_label(self) -> None:
+        self.start({'antiAffinity': 1}, 2)
+        self.assertIn('ROUTE', self.ledger.broken[0])
+        self.start({'requirements': 'r-1'})
+        self.assertIn('ROUTE', self.ledger.broken[0])
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -5,10 +5,12 @@
 import asyncio
 import itertools
 import json
+import math
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 from blacksheep import Request, Response
@@ -31,6 +33,12 @@
 _ENTRY_LAPSES = 4.5
 #: Milliseconds by which each life seems to have begun before the last one.
 _BORN_BACK = 60_000
+#: Share of the runs that last which fail, and seconds within which they do.
+_FAILING_SHARE = 0.1
+_FAILS_WITHIN = 12.0
+#: Seconds until a broken worker fails what it started.
+_BREAKS_AFTER = 0.05
+_WHOLE = 100
 _lives = itertools.count(1)
 
 
@@ -41,8 +49,18 @@
     #: Members of its gang, 1 for a task of its own.
     members: int
     present_at: float
+    #: Whether it runs until it is stopped; `left` is then that of its start.
+    lasts: bool
+    fails_at: float
     stops_at: float | None = None
 
+    @property
+    def percent(self) -> int:
+        """How much of it is done, or whether one that lasts is at work."""
+        if self.lasts:
+            return _WHOLE if self.left <= 0 else 0
+        return int(_WHOLE / (1 + _WHOLE * max(0, self.left)))
+
 
 class WorkerStandIn:
     """One machine of the service, life after life."""
@@ -54,13 +72,15 @@
         store: StoreStandIn,
         ledger: Ledger,
         gangs: dict[str, set[str]],
+        seed: int = 0,
     ) -> None:
         """Start the first life."""
         self.address = address
         self.cores = 16_000
         #: What starts may use: room that shrinks counts a while later.
         self._judged_cores = self.cores
-        self._rack = f'r-{number % 2}'
+        self._labels = 'kind', f'r-{number % 2}'
+        self._seed = seed
         self._store = store
         self._ledger = ledger
         self._gangs = gangs
@@ -82,6 +102,7 @@
         self._ended: list[list[Any]] = []
         self._numbers = itertools.count(1)
         self._lease_ends = 0.0
+        self._broken_until = 0.0
         self._ended_some = asyncio.Event()
         self.enter('ready')
 
@@ -95,7 +116,7 @@
             'slots': 8,
             'state': state,
             'capacity': {'cpu': self.cores, 'memMb': 64_000},
-            'labels': ['kind', self._rack],
+            'labels': self._labels,
             'remainingMs': remaining_ms,
             'sequence': self.number,
             'born': self.born,
@@ -128,6 +149,27 @@
             self._ledger.task_by_key[task].crashes += 1
             self.crash(keeps_name=bool(life % 2))
 
+    def break_for(self, seconds: float) -> None:
+        """Fail all that starts in the next seconds, but for gangs."""
+        self._broken_until = time.monotonic() + seconds
+
+    def rooms_for(self, step_key: str, step: dict[str, Any]) -> int:
+        """Return how many more tasks of a step it could run now."""
+        if step.get('requirements', 'kind') not in self._labels:
+            return 0
+        used = sum(run.size for run in self._run_by_key.values())
+        free = min(self.cores, self._judged_cores) - used
+        fitting = max(0, free // step['cpu'])
+        most: int = step.get('antiAffinity', 0)
+        if not most:
+            return fitting
+        return max(0, min(fitting, most - self._copies(step_key)))
+
+    def _copies(self, step_key: str) -> int:
+        return sum(
+            task.rpartition('.')[0] == step_key for task, _ in self._run_by_key
+        )
+
     async def shrink(self, seconds: float) -> None:
         """Have half of the room for a while, and say so."""
         whole = self.cores
@@ -198,15 +240,25 @@
                 order['taskId'],
                 self.number,
             )
+        self._judge_start(order['taskId'])
+        return answer(200, {'clockMs': now_ms})
+
+    def _judge_start(self, task: str) -> None:
+        """Judge whether a task that was just started may run here."""
         used = sum(run.size for run in self._run_by_key.values())
         if used > self._judged_cores:
             self._ledger.breach('LIMIT', f'{self.name} runs {used}')
-        return answer(200, {'clockMs': now_ms})
+        job = self._ledger.job_by_id.get(task.partition('.')[0])
+        step = job.step_of(task) if job else {}
+        if step.get('requirements', 'kind') not in self._labels:
+            self._ledger.breach('ROUTE', f'{task} on {self.name}')
+        copies = self._copies(task.rpartition('.')[0])
+        if copies > step.get('antiAffinity', math.inf):
+            self._ledger.breach('ROUTE', f'{self.name} runs {copies} of {task}')
 
     def _make_run(self, task: str, number: int) -> _Run:
-        job_id, _, step_number, _ = task.split('.')
-        job = self._ledger.job_by_id.get(job_id)
-        step = job.steps[int(step_number)] if job else {'count': 1}
+        job = self._ledger.job_by_id.get(task.partition('.')[0])
+        step = job.step_of(task) if job else {'count': 1}
         gang = step.get('gangScheduled', False)
         if gang:
             self._gangs.setdefault(_gang_key(task, number), set()).add(task)
@@ -215,8 +267,26 @@
             step.get('cpu', 0),
             step['count'] if gang else 1,
             time.monotonic(),
+            bool(step.get('longRunning')),
+            math.inf if gang else self._draw_failure(task, number, step),
         )
 
+    def _draw_failure(
+        self,
+        task: str,
+        number: int,
+        step: dict[str, Any],
+    ) -> float:
+        """Return when a run fails, which is never for most."""
+        now = time.monotonic()
+        if now < self._broken_until:
+            return now + _BREAKS_AFTER
+        # Drawn by the run, so that it is the same whatever ran before.
+        random = Random(f'{self._seed} {task} {number}')
+        if step.get('longRunning') and random.random() < _FAILING_SHARE:
+            return now + random.uniform(0, _FAILS_WITHIN)
+        return math.inf
+
     def _stop(self, order: dict[str, Any]) -> Response:
         key = order['taskId'], order['runId']
         run = self._run_by_key.get(key)
@@ -249,7 +319,7 @@
             'clockMs': self._clock_ms(),
             'born': self.born,
             'active': [
-                [task, number, '', int(100 / (1 + 100 * max(0, run.left)))]
+                [task, number, '', run.percent]
                 for (task, number), run in self._run_by_key.items()
             ],
             'ended': self._ended[:500],
@@ -268,12 +338,14 @@
         for key, run in list(self._run_by_key.items()):
             if run.stops_at is not None and now > run.stops_at:
                 self._end(key, run, 'stopped')
+            elif now > run.fails_at:
+                self._end(key, run, 'failed')
             elif run.members > 1 and not self._all_present(key, run):
                 if now - run.present_at > _GANG_WAIT:
                     self._end(key, run, 'alone')
             else:
                 run.left -= passed
-                if run.left <= 0:
+                if run.left <= 0 and not run.lasts:
                     self._end(key, run, 'done')
 
     def _all_present(self, key: tuple[str, int], run: _Run) -> bool:
