--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -14,7 +14,7 @@
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_desk import AdviceDesk
 from orchidrail.shard.books import WorkerBooks
-from orchidrail.shard.long_waits import LongWaits
+from orchidrail.shard.long_waits import LongWaits, WaitingWork
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
@@ -236,11 +236,12 @@
             waits = LongWaits(shard.state)
             step = job.steps(0)[0]
             reason_by_job = {job.job_id: WaitReason.ROOM}
+            work = WaitingWork([step], frozenset(), reason_by_job)
             with capture_logs() as lines:
-                waits.report([step], frozenset(), reason_by_job)
+                waits.report(work)
                 shard.state.clock = lambda: time.monotonic() + 3
                 for _ in range(2):
-                    waits.report([step], frozenset(), reason_by_job)
+                    waits.report(work)
             told = [line for line in lines if line['event'] == 'tasks wait']
             self.assertEqual(
                 [(2, 'room')],
@@ -256,6 +257,28 @@
 
         self.play(scene)
 
+    def test_the_gauge_of_waits_falls_when_a_queue_has_no_job_left(
+        self,
+    ) -> None:
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            spec = StepSpec(3, Size(1000), lasting=True, most_per_worker=1)
+            job = _make_job('a' * 16, spec, 1, advice=False)
+            shard.add(job)
+            await asyncio.sleep(_SOON)
+            waits = LongWaits(shard.state)
+            shard.state.clock = lambda: time.monotonic() + 3
+            waits.report(WaitingWork(job.steps(0), frozenset(), {}))
+            shard.state.job_by_id.pop(job.job_id)
+            waits.report(WaitingWork([], frozenset(), {}))
+            waiting = shard.state.metrics.registry.get_sample_value(
+                'orchidrail_longest_task_wait_seconds',
+                {'queue': job.queue.name},
+            )
+            self.assertEqual(0, waiting)
+
+        self.play(scene)
+
     def test_a_backlog_asks_for_no_more_than_the_lanes_can_take(self) -> None:
         """After a loss of power, hundreds of steps wait for advice at once."""
 
@@ -314,7 +337,10 @@
             busy = full.steps(0)[0].tasks[0].worker
             blocked = _make_job('b' * 16, StepSpec(1, Size(9_000, 1)), 1, False)
             other = (shard.state.books_by_worker.keys() - {busy}).pop()
-            blocked.steps(0)[0].failed_on.add(other)
+            blocked.steps(0)[0].failed_workers.note_failure(
+                other,
+                time.monotonic(),
+            )
             shard.add(blocked)
             await asyncio.sleep(_SOON)
             task = blocked.steps(0)[0].tasks[0]
