--- a/soak/tests/test_watch.py
+++ b/soak/tests/test_watch.py
@@ -80,6 +80,18 @@
         self.look_until(_ENDED_AT + 8.9)
         self.assert_told()
 
+    def test_a_task_that_was_at_work_between_two_looks(self) -> None:
+        self.look_until(_AWAY_FOR_LONG)
+        self.task.ended_at = _AWAY_FOR_LONG
+        self.look_until(_AWAY_FOR_LONG + 8.9, _AWAY_FOR_LONG)
+        self.assert_told()
+
+    def test_the_longest_time_away_with_room(self) -> None:
+        self.look_until(_ENDED_AT + 4)
+        self.worker.rooms = 1
+        self.look_until(_ENDED_AT + 5, _ENDED_AT + 4.1)
+        self.assertAlmostEqual(4, self.watch.longest)
+
     def test_a_task_that_is_at_work_again(self) -> None:
         self.look_until(_AWAY_FOR_LONG)
         self.task.running.add('w-1')
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -68,22 +68,23 @@
             since = self._ledger.away_since(task)
             if since is None:
                 self._told.discard(task)
-            if since is None or not self._roomy(job, task, now - since, now):
+            if since is None or not self._roomy(job, task, now):
                 self._room_since_by_task.pop(task, None)
                 continue
             self.longest = max(self.longest, now - since)
+            if now - since <= MOST_AWAY:
+                self._room_since_by_task.pop(task, None)
+                continue
             room_since = self._room_since_by_task.setdefault(task, now)
             if now - room_since > ROOM_FOR:
                 starts = self._ledger.task_by_key[task].starts
                 detail = f'away for {now - since:.1f} s after {starts} starts'
                 self._tell('LOST', task, detail)
 
-    def _roomy(self, job: SentJob, task: str, away: float, now: float) -> bool:
-        """Whether a task is owed now but for how long there is room."""
+    def _roomy(self, job: SentJob, task: str, now: float) -> bool:
+        """Whether it is calm and there is room for a task twice over."""
         if self.calm_since is None or now - self.calm_since < CALM_AFTER:
             return False
-        if away <= MOST_AWAY:
-            return False
         step_key, step = task.rpartition('.')[0], job.step_of(task)
         rooms = (worker.rooms_for(step_key, step) for worker in self._workers)
         return sum(rooms) >= _TIMES_OVER
