--- a/orchidrail/shard/tests/test_crashes.py
+++ b/orchidrail/shard/tests/test_crashes.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+from typing import Any
 
 import msgspec
 
@@ -30,6 +31,7 @@
 from orchidrail.work.size import Size
 from orchidrail.work.tests.test_job import make_job, place_all
 from orchidrail.workers.port import (
+    OrderAnswer,
     OrderResult,
     RunEnding,
     RunKey,
@@ -236,6 +238,26 @@
 
         self.play(scene)
 
+    def test_so_is_one_that_kept_its_gang_from_starting(self) -> None:
+        """The other member's start was not sent: its connection had ended."""
+
+        async def scene(shard: Shard) -> None:
+            step = shard.add(make_job(StepSpec(2, gang=True)))
+            take = shard.worker.start
+
+            async def crash_at(*words: Any) -> OrderAnswer:
+                answer = await take(*words)
+                shard.worker.start_result = OrderResult.NOT_SENT
+                return answer
+
+            self.patch(shard.worker, 'start', crash_at)
+            shard.launch(step)
+            await asyncio.sleep(_SOON)
+            await shard.crash()
+            self.assertEqual([1, 0], [task.crashes for task in step.tasks])
+
+        self.play(scene)
+
     def test_a_start_that_another_life_refused_is_not(self) -> None:
         async def scene(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.OTHER_LIFE
