--- a/orchidrail/shard/crashes.py
+++ b/orchidrail/shard/crashes.py
@@ -85,7 +85,11 @@
 
 
 def lost_runs(books: WorkerBooks) -> list[LostRun]:
-    """Return the runs of a worker that may have to do with its end."""
+    """Return the runs of a worker that may have to do with its end.
+
+    Also those that are being stopped: the crash may have broken off the starts
+    of a gang's other members, for which its run there was to be stopped.
+    """
     runs = [run for run in books.run_by_key.values() if run.ordered]
     young = [run for run in runs if not books.proven(run)]
     return [
@@ -96,7 +100,7 @@
             run.trial and _tells(run, young),
         )
         for run in runs
-        if run.task is not None and not run.stopping
+        if run.task is not None
     ]
 
 
