--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -23,10 +23,11 @@
 from orchidrail.shard.placer import Placer
 from orchidrail.shard.state import ShardState
 from orchidrail.types import Epoch, JobId, RunNumber, Seconds, WorkerId
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.model import AdviceCost, JobSpec, StepSpec
 from orchidrail.work.records import JobRecord, TaskPhase
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import RunKey
 from orchidrail.workers.session import WorkerSession
--- a/orchidrail/properties/test_tenant_ledger.py
+++ b/orchidrail/properties/test_tenant_ledger.py
@@ -23,10 +23,11 @@
 from orchidrail.shard.tests.test_placing import make_books
 from orchidrail.shard.unresolved import UnresolvedRuns
 from orchidrail.types import JobId, RunNumber, TenantId, WorkerId
-from orchidrail.work.job import Job, Task
+from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, StepSpec
 from orchidrail.work.records import JobRecord, TaskPhase
 from orchidrail.work.size import Size
+from orchidrail.work.step import Task
 from orchidrail.work.tenant import Tenant
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.port import RunKey
--- a/orchidrail/shard/blame.py
+++ b/orchidrail/shard/blame.py
@@ -16,8 +16,8 @@
 )
 from orchidrail.shard.state import ShardState
 from orchidrail.types import Address, RunNumber, Seconds, WorkerId
-from orchidrail.work.job import Task
 from orchidrail.work.records import FailureCause
+from orchidrail.work.step import Task
 
 _log = structlog.get_logger()
 #: Time at work after which a task is no longer suspected: far longer than any
--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -15,9 +15,9 @@
     holding_of,
 )
 from orchidrail.types import Seconds, WorkerId
-from orchidrail.work.job import Task
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import Task
 from orchidrail.workers.port import RunKey, WorkerEntry, WorkerState
 from orchidrail.workers.session import WorkerSession
 
--- a/orchidrail/shard/crashes.py
+++ b/orchidrail/shard/crashes.py
@@ -17,7 +17,7 @@
 
 from orchidrail.shard.books import PlacedRun, WorkerBooks
 from orchidrail.types import RunNumber, Seconds
-from orchidrail.work.job import Task
+from orchidrail.work.step import Task
 
 #: Ends of others within this time tell whether workers crash anyway: some
 #: crash, are back after 3 s and crash again.
--- a/orchidrail/shard/earlier_runs.py
+++ b/orchidrail/shard/earlier_runs.py
@@ -9,8 +9,8 @@
 from orchidrail.shard.run_ends import RunEnds
 from orchidrail.shard.state import ShardState
 from orchidrail.types import RunNumber, WorkerId
-from orchidrail.work.job import Task
 from orchidrail.work.records import TaskPhase
+from orchidrail.work.step import Task
 from orchidrail.workers.lives import split_life
 from orchidrail.workers.port import ActiveRun, RunKey
 
--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -10,9 +10,9 @@
 
 from orchidrail.shard.books import PlacedRun, WorkerBooks
 from orchidrail.types import Seconds, WorkerId
-from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 
 #: A worker holds at most so many tasks that count as large.
 _LARGE_COPIES = 2
--- a/orchidrail/shard/long_waits.py
+++ b/orchidrail/shard/long_waits.py
@@ -14,7 +14,7 @@
 from orchidrail.shard.obstacles import count_obstacles
 from orchidrail.shard.state import ShardState
 from orchidrail.types import JobId, QueueName, Seconds, WorkerId
-from orchidrail.work.job import StepState
+from orchidrail.work.step import StepState
 from orchidrail.work.waits import WaitReason
 
 _log = structlog.get_logger()
--- a/orchidrail/shard/obstacles.py
+++ b/orchidrail/shard/obstacles.py
@@ -9,7 +9,7 @@
 
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.types import Seconds, WorkerId
-from orchidrail.work.job import StepState
+from orchidrail.work.step import StepState
 
 
 class Obstacle(Enum):
--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -16,9 +16,9 @@
 from orchidrail.shard.placing import suits
 from orchidrail.shard.roles import may_share, waits_too_long
 from orchidrail.types import Seconds, ServiceName, WorkerId
-from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 
 
 class _ByRoom(NamedTuple):
--- a/orchidrail/shard/passes.py
+++ b/orchidrail/shard/passes.py
@@ -20,8 +20,8 @@
     TenantId,
     WorkerId,
 )
-from orchidrail.work.job import StepState, Task
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState, Task
 from orchidrail.work.waits import WaitReason
 
 #: Steps that wait with room kept free for them, most urgent first.
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -17,7 +17,7 @@
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.types import JobId, Seconds, WorkerId
-from orchidrail.work.job import StepState, Task
+from orchidrail.work.step import StepState, Task
 from orchidrail.work.waits import WaitReason
 
 #: Least time between two passes; they take at most half of all time, so that
--- a/orchidrail/shard/placing.py
+++ b/orchidrail/shard/placing.py
@@ -7,8 +7,8 @@
 
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.pace import Pace
-from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import StepSpec
+from orchidrail.work.step import StepState, Task
 
 _URGENT_ORDER = {Pace.USUAL: 0, Pace.SLOWER: 1, Pace.FAR_SLOWER: 2}
 _OTHER_ORDER = {Pace.SLOWER: 0, Pace.USUAL: 1, Pace.FAR_SLOWER: 2}
--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -18,8 +18,8 @@
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
 from orchidrail.types import Seconds, WorkerId
-from orchidrail.work.job import StepState
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.workers.port import Advice
 
 #: Workers asked about in one call while others may do.
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -5,8 +5,9 @@
 from typing import NamedTuple
 
 from orchidrail.types import Seconds
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, QueueSettings
+from orchidrail.work.step import StepState
 
 Rank = tuple[float, ...]
 
--- a/orchidrail/shard/roles.py
+++ b/orchidrail/shard/roles.py
@@ -14,7 +14,7 @@
 
 from orchidrail.shard.books import PlacedRun, TaskRole, WorkerBooks, role_of
 from orchidrail.types import Seconds
-from orchidrail.work.job import StepState
+from orchidrail.work.step import StepState
 
 #: Wait after which tasks are put beside those that they are kept from: a
 #: question for tickets and a start must follow before they stand still for 3 s.
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -13,8 +13,9 @@
 from orchidrail.shard.standing import Standings
 from orchidrail.shard.state import ShardState
 from orchidrail.types import RunNumber, Seconds
-from orchidrail.work.job import Job, Task
+from orchidrail.work.job import Job
 from orchidrail.work.records import TaskPhase
+from orchidrail.work.step import Task
 from orchidrail.workers.port import EndedRun, RunEnding, RunKey
 
 _log = structlog.get_logger()
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -26,8 +26,9 @@
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
 from orchidrail.types import Address, RunNumber, Seconds, WorkerId
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.records import TaskPhase
+from orchidrail.work.step import StepState
 from orchidrail.workers.port import (
     ActiveRun,
     Listing,
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -24,7 +24,7 @@
     TaskKey,
     WorkerId,
 )
-from orchidrail.work.job import Job, Task
+from orchidrail.work.job import Job
 from orchidrail.work.records import (
     FENCE_KEY,
     EndedRecord,
@@ -35,6 +35,7 @@
     progress_key,
     worker_key,
 )
+from orchidrail.work.step import Task
 from orchidrail.workers.lives import split_life
 from orchidrail.workers.port import WorkerEntry
 
--- a/orchidrail/shard/tenant_ledger.py
+++ b/orchidrail/shard/tenant_ledger.py
@@ -8,9 +8,9 @@
 
 from orchidrail.shard.fading_peak import FadingPeak
 from orchidrail.types import Seconds, TenantId
-from orchidrail.work.job import StepState, Task
 from orchidrail.work.model import size_at_once
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState, Task
 from orchidrail.work.tenant import Tenant
 
 #: Most of a tenant's limit that is ever kept for its urgent work, which has no
--- a/orchidrail/shard/tests/fleet_case.py
+++ b/orchidrail/shard/tests/fleet_case.py
@@ -22,9 +22,9 @@
     InstanceId,
     JobId,
 )
-from orchidrail.work.job import Task
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
 from orchidrail.work.records import encode
+from orchidrail.work.step import Task
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.entries import BadEntry, EntryFlaw
 from orchidrail.workers.port import (
--- a/orchidrail/shard/tests/test_crashes.py
+++ b/orchidrail/shard/tests/test_crashes.py
@@ -25,10 +25,11 @@
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.shard.tests.test_runs import Shard, ShardTestCase
 from orchidrail.types import RunNumber, WorkerId
-from orchidrail.work.job import GIVEN_UP_AT, Job, StepState, Task
+from orchidrail.work.job import GIVEN_UP_AT, Job
 from orchidrail.work.model import StepSpec
 from orchidrail.work.records import FailureCause, JobPhase, Progress
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState, Task
 from orchidrail.work.tests.test_job import make_job, place_all
 from orchidrail.workers.port import (
     OrderAnswer,
--- a/orchidrail/shard/tests/test_obstacles.py
+++ b/orchidrail/shard/tests/test_obstacles.py
@@ -8,9 +8,9 @@
 from orchidrail.shard.tests.test_open_workers import advised, fill
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.types import WorkerId
-from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 
 _NOBODY: frozenset[WorkerId] = frozenset()
 _TASK = Size(4000)
--- a/orchidrail/shard/tests/test_open_workers.py
+++ b/orchidrail/shard/tests/test_open_workers.py
@@ -9,9 +9,9 @@
 from orchidrail.shard.placing import choose_workers
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.types import RunNumber, TaskKey, WorkerId
-from orchidrail.work.job import StepState
 from orchidrail.work.model import AdviceCost, StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.port import RunKey
 
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -30,10 +30,11 @@
     Seconds,
     WorkerId,
 )
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.model import AdviceCost, MemberInfo, StepSpec
 from orchidrail.work.records import TaskPhase
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.work.waits import WaitReason
 from orchidrail.workers.lease import RunLease
--- a/orchidrail/shard/tests/test_placing.py
+++ b/orchidrail/shard/tests/test_placing.py
@@ -11,9 +11,9 @@
 from orchidrail.shard.pace import Pace
 from orchidrail.shard.placing import choose_workers, suits
 from orchidrail.types import Epoch, RunNumber, TaskKey
-from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import RunKey
--- a/orchidrail/shard/tests/test_roles.py
+++ b/orchidrail/shard/tests/test_roles.py
@@ -12,9 +12,9 @@
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.shard.tests.test_runs import Shard, ShardTestCase
 from orchidrail.types import JobId, RunNumber, Seconds
-from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.port import ActiveRun, RunKey
 
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -27,10 +27,11 @@
     TaskKey,
     WorkerId,
 )
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.model import MemberInfo, StepSpec
 from orchidrail.work.records import JobPhase, TaskPhase
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.lease import RunLease
 from orchidrail.workers.port import ActiveRun, OrderResult, RunEnding, RunKey
--- a/orchidrail/shard/tests/test_tenant_ledger.py
+++ b/orchidrail/shard/tests/test_tenant_ledger.py
@@ -7,10 +7,11 @@
 
 from orchidrail.shard.tenant_ledger import Holding, TenantLedger
 from orchidrail.types import JobId, TenantId
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, StepSpec
 from orchidrail.work.records import JobRecord
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.work.tenant import Tenant
 from orchidrail.work.tests.test_job import make_job
 
--- a/orchidrail/shard/unresolved.py
+++ b/orchidrail/shard/unresolved.py
@@ -10,7 +10,7 @@
     holding_of,
 )
 from orchidrail.types import RunNumber, WorkerId
-from orchidrail.work.job import Task
+from orchidrail.work.step import Task
 from orchidrail.workers.port import RunKey
 
 _Placed = list[tuple[Task, RunNumber]]
--- a/orchidrail/work/tests/test_job.py
+++ b/orchidrail/work/tests/test_job.py
@@ -11,7 +11,7 @@
     ServiceName,
     WorkerId,
 )
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, QueueSettings, StepSpec
 from orchidrail.work.records import (
     JobPhase,
@@ -21,6 +21,7 @@
     TaskRow,
 )
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 from orchidrail.workers.port import RunEnding
 
 _WORKER = WorkerId('w-1')
--- a/standins/model/liveness.py
+++ b/standins/model/liveness.py
@@ -7,8 +7,9 @@
 
 from orchidrail.shard.owner import ShardOwner
 from orchidrail.types import Seconds
-from orchidrail.work.job import Job, StepState
+from orchidrail.work.job import Job
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 
 #: Longest time that a task may stand still which could run, as the users judge.
 LONGEST_STILL: Seconds = 3.0
