--- a/orchidrail/shard/obstacles.py
+++ b/orchidrail/shard/obstacles.py
@@ -17,7 +17,11 @@
 
     #: It is of another kind, or too small even when it is idle.
     UNSUITED = 'unsuited'
-    #: It takes no new work: it drains, rests, is under trial or silent.
+    #: Job after job failed there, or it refused an order.
+    RESTS = 'rests'
+    #: A task that may end its workers is tried there.
+    TRIAL = 'trial'
+    #: It takes no new work for another reason: it drains, is silent or gone.
     CLOSED = 'closed'
     #: The advice service has not been asked about it.
     NOT_ASKED = 'notAsked'
@@ -78,6 +82,8 @@
 #: In order: what holds for good first, what a question would end last.
 _TEST_BY_OBSTACLE: dict[Obstacle, Callable[[_Sight, WorkerBooks], bool]] = {
     Obstacle.UNSUITED: _is_unsuited,
+    Obstacle.RESTS: lambda sight, books: sight.now < books.rests_until,
+    Obstacle.TRIAL: lambda sight, books: bool(books.trials),
     Obstacle.CLOSED: lambda sight, books: not books.open(sight.now),
     Obstacle.NOT_ASKED: _is_not_asked,
     Obstacle.NOT_PERMITTED: _is_not_permitted,
