--- a/orchidrail/shard/tests/test_earmarks.py
+++ b/orchidrail/shard/tests/test_earmarks.py
@@ -51,6 +51,18 @@
         kept = choose_earmarks(step, 1, [long, short], now=11)
         self.assertEqual({'short'}, kept)
 
+    def test_a_worker_that_holds_the_most_copies_is_not_kept(self) -> None:
+        """Its room is of no use to the step, for as long as those run."""
+        spec = StepSpec(3, Size(2000), lasting=True, most_per_worker=1)
+        step = make_step(spec)
+        held, other = make_books('held', cores=8), make_books('other')
+        key = RunKey(step.tasks[0].key, RunNumber(1))
+        held.charge(PlacedRun(key, spec.charged, step.tasks[0], 10), step.key)
+        _place(other, StepSpec(1, Size(3000), estimate=2))
+        kept = choose_earmarks(step, 1, [held, other], now=11)
+        self.assertEqual({'other'}, kept)
+        self.assertEqual(set(), choose_earmarks(step, 2, [held], now=11))
+
     def test_a_gang_that_never_fits_keeps_no_worker(self) -> None:
         only = make_books('only')
         _place(only, StepSpec(1, Size(3000), estimate=9))
