--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -10,6 +10,7 @@
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
+from orchidrail.shard import runs
 from orchidrail.shard.books import WorkerBooks
 from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.placing import Placement
@@ -33,7 +34,13 @@
 from orchidrail.work.size import Size
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.lease import RunLease
-from orchidrail.workers.port import ActiveRun, OrderResult, RunEnding, RunKey
+from orchidrail.workers.port import (
+    ActiveRun,
+    OrderAnswer,
+    OrderResult,
+    RunEnding,
+    RunKey,
+)
 from orchidrail.workers.session import WorkerSession
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
 
@@ -271,6 +278,29 @@
 
         self.play(scene)
 
+    def test_a_run_is_stopped_however_long_its_worker_refuses(self) -> None:
+        """Its lease is renewed with that of all others there."""
+
+        async def scene(shard: Shard) -> None:
+            self.patch(runs, '_STOP_AGAIN', 0.001)
+            shard.launch(shard.add(make_job(StepSpec(1))))
+            await asyncio.sleep(_SOON)
+            stop = shard.worker.stop
+            run = next(iter(shard.books.run_by_key.values()))
+
+            async def refuse(*_: object) -> OrderAnswer:
+                return OrderAnswer(OrderResult.UNWELL)
+
+            shard.worker.stop = refuse  # type: ignore[method-assign]
+            shard.runs.stop(shard.books, run)
+            await asyncio.sleep(2 * _SOON)
+            shard.worker.stop = stop  # type: ignore[method-assign]
+            await shard.look()
+            await asyncio.sleep(_SOON)
+            self.assertIn(run.key, shard.worker.stops)
+
+        self.play(scene)
+
     def test_an_unlogged_run_that_has_ended_counts(self) -> None:
         async def scene(shard: Shard) -> None:
             job = make_job(StepSpec(1))
