--- a/standins/tests/test_held_back.py
+++ b/standins/tests/test_held_back.py
@@ -6,6 +6,7 @@
 
 from standins.model import CellLoad, CellModel, QueueLoad, Surge
 from standins.model.load import Draw
+from standins.model.tenants import TenantLoad
 
 _LISTENERS = QueueLoad(
     name='listeners',
@@ -33,6 +34,31 @@
     megabytes=Draw(500),
     work=Draw(0.6, 0.3, 2),
 )
+_GANGS = QueueLoad(
+    name='gangs',
+    per_s=0.1,
+    worth=5,
+    priority=1,
+    stretch=4,
+    target=4,
+    tasks=Draw(16),
+    cores=Draw(8),
+    megabytes=Draw(500),
+    work=Draw(1),
+    gang=1,
+)
+_SMALL = QueueLoad(
+    name='small',
+    per_s=1,
+    worth=1,
+    priority=1,
+    stretch=4,
+    target=4,
+    tasks=Draw(2),
+    cores=Draw(2),
+    megabytes=Draw(500),
+    work=Draw(1),
+)
 
 
 class HeldBackTest(TestCase):
@@ -50,3 +76,30 @@
         model = CellModel(load, seed=5)
         model.play()
         self.assertEqual([], model.lasting.left_waiting)
+
+    def test_no_tenant_waits_for_a_gang_that_finds_no_room(self) -> None:
+        """What lasts has the rest of its limit, and never ends."""
+        tenant = TenantLoad('stores', share=1, weight=50, cores=150)
+        lasting = QueueLoad(
+            name='lasting',
+            per_s=0.08,
+            worth=2,
+            priority=1,
+            stretch=2.2,
+            target=2.5,
+            tasks=Draw(10),
+            cores=Draw(6),
+            megabytes=Draw(4000),
+            work=Draw(0.5),
+            stays=Draw(80),
+        )
+        load = CellLoad(
+            [lasting, _GANGS, _SMALL],
+            workers=12,
+            tenants=[tenant],
+        )
+        late = [
+            (seed, CellModel(load, seed).play().by_queue['small'].late)
+            for seed in (1, 2, 3)
+        ]
+        self.assertEqual([(1, 0), (2, 0), (3, 0)], late)
