--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -39,7 +39,6 @@
 
 _log = structlog.get_logger()
 _STOP_AGAIN: Seconds = 0.3
-_STOP_TRIES = 30
 _MILLIS = 1000
 #: Results after which the worker has certainly not started the run.
 _NOT_STARTED = frozenset(
@@ -368,9 +367,11 @@
         self._ends.settle_all()
 
     async def _stop(self, books: WorkerBooks, run: PlacedRun) -> None:
-        for _ in range(_STOP_TRIES):
-            if not books.has(run) or books.session.over:
-                return
+        """Order a stop until the end is known: its lease is renewed till then.
+
+        A run that goes on takes room, and may keep its whole worker closed.
+        """
+        while books.has(run) and not books.session.over:
             answer = await books.session.stop(run.key)
             if answer.result is OrderResult.TAKEN:
                 # The worker will not start the run any more; what runs takes
