--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -63,17 +63,33 @@
     would keep them from others for good.
     """
     size = step.spec.charged
-    waits = [(time_to_room(books, size, now), books) for books in candidates]
+    waits = [
+        (time_to_room(books, size, now), books)
+        for books in candidates
+        if _takes(step, books)
+    ]
     waits.sort(key=lambda pair: pair[0])
     kept: set[WorkerId] = set()
     for wait, books in waits:
         if missing <= 0 or wait == math.inf:
             break
         kept.add(books.worker)
-        missing -= size.times_in(books.entry.capacity)
+        missing -= _takes(step, books)
     return set() if step.spec.gang and missing > 0 else kept
 
 
+def _takes(step: StepState, books: WorkerBooks) -> int:
+    """Return how many more tasks of a step a worker takes once it has room.
+
+    One that holds the most copies has none for it, for as long as those run.
+    """
+    most = step.spec.most_per_worker
+    fitting = step.spec.charged.times_in(books.entry.capacity)
+    if not most:
+        return fitting
+    return max(0, min(fitting, most - books.count_by_step[step.key]))
+
+
 def time_to_room(books: WorkerBooks, size: Size, now: Seconds) -> Seconds:
     """Return after how long a worker is expected to have room for `size`."""
     free = books.free
--- a/orchidrail/shard/tests/test_earmarks.py
+++ b/orchidrail/shard/tests/test_earmarks.py
@@ -59,6 +59,8 @@
         key = RunKey(step.tasks[0].key, RunNumber(1))
         held.charge(PlacedRun(key, spec.charged, step.tasks[0], 10), step.key)
         _place(other, StepSpec(1, Size(3000), estimate=2))
+        # What runs there is of another job.
+        other.count_by_step.clear()
         kept = choose_earmarks(step, 1, [held, other], now=11)
         self.assertEqual({'other'}, kept)
         self.assertEqual(set(), choose_earmarks(step, 2, [held], now=11))
