--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -113,7 +113,7 @@
         step = waiting.step
         in_limit = self._within_limit(waiting, this_pass)
         allowed = in_limit
-        if waiting.timing.has_time(this_pass.wall):
+        if waiting.has_time(this_pass):
             allowed = _leave_headroom(step, allowed, this_pass)
         placed = 0
         if allowed and not waiting.blocked(this_pass):
