--- a/orchidrail/shard/tenant_ledger.py
+++ b/orchidrail/shard/tenant_ledger.py
@@ -31,12 +31,14 @@
     size: Size
     #: Whether it is of a queue that goes before all others.
     urgent: bool = False
+    #: Whether it goes on until its job is cancelled.
+    lasting: bool = False
 
 
 def holding_of(task: Task) -> Holding:
     """Return what a run of a task takes of its tenant's limit."""
-    job = task.step.job
-    return Holding(job.tenant.name, task.step.spec.size, job.urgent)
+    job, spec = task.step.job, task.step.spec
+    return Holding(job.tenant.name, spec.size, job.urgent, spec.lasting)
 
 
 def unknown_tenant(name: TenantId) -> Tenant | None:
@@ -78,6 +80,7 @@
         self._find_tenant = find_tenant
         self._clock = clock
         self._urgent_by_tenant: defaultdict[TenantId, Size] = defaultdict(Size)
+        self._lasting_by_tenant: defaultdict[TenantId, Size] = defaultdict(Size)
         self._peak_by_tenant: defaultdict[TenantId, _Peaks] = defaultdict(
             _Peaks
         )
@@ -94,6 +97,8 @@
         if not name:
             return
         self.used_by_tenant[name] = self.used(name) + holding.size
+        if holding.lasting:
+            self._lasting_by_tenant[name] += holding.size
         if holding.urgent:
             self._urgent_by_tenant[name] += holding.size
             urgent = self._urgent_by_tenant[name]
@@ -106,6 +111,8 @@
         left = self.used(holding.tenant) - holding.size
         if holding.urgent:
             self._urgent_by_tenant[holding.tenant] -= holding.size
+        if holding.lasting:
+            self._lasting_by_tenant[holding.tenant] -= holding.size
         if any(left):
             self.used_by_tenant[holding.tenant] = left
         else:
@@ -145,15 +152,16 @@
 
         It finds room only while little else of its tenant runs, also where the
         tenant uses less than half. One that a lowered limit does not allow at
-        all is none of these: nothing is to wait for it.
+        all, or not beside what lasts, is none of these: nothing is to wait for
+        it, since nobody knows for how long.
         """
         tenant = self.current(step.job.tenant)
         if not tenant.limited:
             return False
         at_once = size_at_once(step.spec)
-        return tenant.ever_fits(at_once) and not tenant.ever_fits(
-            at_once + at_once
-        )
+        lasting = self._lasting_by_tenant[tenant.name]
+        fits = tenant.more_within(lasting, at_once) > 0
+        return fits and not tenant.ever_fits(at_once + at_once)
 
     def _kept_beside(self, tenant: Tenant, step: StepState) -> Size:
         """Return what is kept from a step; nothing if it would never fit."""
