--- a/orchidrail/scheduler/job_desk.py
+++ b/orchidrail/scheduler/job_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import structlog
@@ -49,6 +50,11 @@
 _TIMEOUT: Seconds = 1
 _LOG_RETRY: Seconds = 5
 _WITNESS_RETRY: Seconds = 1
+#: Between two looks at the witnesses of a kept job.
+_LOOK_PAUSE: Seconds = 0.2
+#: How long they are looked at if keeping the job took all of the patience; a
+#: gateway listens for longer than that.
+_LEAST_LOOK: Seconds = 2
 _CANCEL_PATIENCE: Seconds = 5
 _WITNESS_FIELD = 2
 _log = structlog.get_logger()
@@ -86,9 +92,10 @@
 
     async def _submit(self, message: SubmitJob) -> Message:
         spec = message.job
+        end = self._daemon.ports.clock() + message.patience
         known = self._daemon.book.entry_by_job.get(spec.key)
         if known is not None:
-            return await self._acknowledge(spec)
+            return await self._acknowledge(spec, end)
         declined = self._check(spec)
         if declined is not None:
             return await self._decline(
@@ -101,7 +108,7 @@
         kept = await self._daemon.commit.commit(record, message.patience)
         if isinstance(kept, Ok):
             self._daemon.jobs_follower.poke()
-            return await self._acknowledge(spec)
+            return await self._acknowledge(spec, end)
         return await self._decline(
             spec,
             RefusalCode.LOG_DOWN,
@@ -152,8 +159,34 @@
         for witness, reports in by_witness.items():
             await self._ask_owner(witness, TasksEnded(tasks=reports))
 
-    async def _acknowledge(self, spec: JobSpec) -> Message:
-        """Tell the caller that a kept job is accepted, if it surely is.
+    async def _acknowledge(self, spec: JobSpec, end: Seconds) -> Message:
+        """Tell the caller that a kept job is accepted, once it surely is.
+
+        Its witnesses may be silent for a moment, or be listed to the issuer of
+        the key only, so they are looked at until the caller's patience ends.
+        """
+        rest = max(end - self._daemon.ports.clock(), _LEAST_LOOK)
+        try:
+            async with asyncio.timeout(rest):
+                return await self._look_until_known(spec)
+        except TimeoutError:
+            _log.info('kept job is not acknowledged yet', job=spec.key)
+        return Refusal(
+            code=RefusalCode.UNREACHABLE,
+            detail='the job is kept, but its witnesses do not answer yet',
+            verdict=Verdict.MAY_HAVE_RUN,
+            retry_after=_WITNESS_RETRY,
+        )
+
+    async def _look_until_known(self, spec: JobSpec) -> Message:
+        while True:
+            answer = await self._look(spec)
+            if answer is not None:
+                return answer
+            await asyncio.sleep(_LOOK_PAUSE)
+
+    async def _look(self, spec: JobSpec) -> Message | None:
+        """Return what the caller is told of a kept job, if that is sure.
 
         An earlier call with its key may have settled the job's claim: then
         its owner drops it, though its record is in the log.
@@ -167,12 +200,7 @@
         if state is TaskState.NEVER_STARTED:
             detail = 'the key was refused before; take a new one'
             return await self._decline(spec, RefusalCode.INVALID, detail, 0)
-        return Refusal(
-            code=RefusalCode.UNREACHABLE,
-            detail='the job is kept, but its witnesses do not answer yet',
-            verdict=Verdict.MAY_HAVE_RUN,
-            retry_after=_WITNESS_RETRY,
-        )
+        return None
 
     async def _take_up_at_both(self, spec: JobSpec) -> TaskState | None:
         """Return ``MARKER``, or the first other state that a witness has."""
