--- a/orchidrail/scheduler/tests/test_job_desk.py
+++ b/orchidrail/scheduler/tests/test_job_desk.py
@@ -6,6 +6,17 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
+
+from orchidrail.jobs.attempts import job_claim
+from orchidrail.jobs.book import JobEntry
+from orchidrail.jobs.records import (
+    JobAccepted,
+    JobMoved,
+    JobRecord,
+    encode_record,
+)
+from orchidrail.logservice.ports import LogRecord
 from orchidrail.resources import Resources
 from orchidrail.scheduler.tests.small_zone import (
     BATCH,
@@ -18,6 +29,7 @@
     Address,
     CallFailure,
     JobId,
+    Offset,
     Seconds,
     Verdict,
     WorkerId,
@@ -44,6 +56,14 @@
     size=Resources(4, 4),
     payload='{"seconds": 600}',
 )
+_MOVED = JobMoved(
+    job=_JOB,
+    generation=1,
+    witness=WorkerId('w-2'),
+    witness_boot='b',
+    backup=WorkerId('w-1'),
+    backup_boot='b',
+)
 _PATIENCE: Seconds = 5
 #: How much longer than the caller's patience a gateway waits for an answer.
 _MARGIN: Seconds = 3
@@ -74,6 +94,29 @@
         """Run one of the daemon's loops until the scenario is over."""
         self._running.append(asyncio.create_task(loop))
 
+    def run_log(self) -> None:
+        """Let the daemon write the log and read it."""
+        self.run_loop(self.zone.daemon.commit.run())
+        self.run_loop(self.zone.daemon.jobs_follower.run())
+
+    def tell(self, *records: JobRecord) -> JobEntry:
+        """Have the daemon's fold tell of records at once."""
+        payload = msgspec.json.encode(list(map(encode_record, records)))
+        book = self.zone.daemon.book
+        book.apply(LogRecord(Offset(0), 0, payload.decode()))
+        return book.entry_by_job[_JOB]
+
+    def refuse_at(self, *workers: str) -> None:
+        """Settle the job's claim, as a refusal of it does."""
+        for worker in workers:
+            machine = self.zone.machine_by_name[WorkerId(worker)]
+            machine.settle([job_claim(_JOB)])
+
+    def assert_refused(self, answer: Message) -> None:
+        """Fail unless the caller is told that the job has not run."""
+        self.assertIsInstance(answer, Refusal)
+        self.assertIs(Verdict.NOT_RUN, answer.verdict)
+
     async def submit(self, patience: Seconds = _PATIENCE) -> Message:
         """Hand the job in."""
         message = SubmitJob(job=_SPEC, patience=patience)
@@ -123,3 +166,40 @@
         answer = self.play(scenario())
         self.assertIsInstance(answer, Refusal)
         self.assertIs(Verdict.MAY_HAVE_RUN, answer.verdict)
+
+
+class RefusedJobTest(JobDeskTest):
+    """Jobs that an earlier call has refused, though their record was kept."""
+
+    def test_a_dropped_job_is_refused_again(self) -> None:
+        async def scenario() -> Message:
+            await self.zone.hold()
+            self.refuse_at('w-0')
+            self.run_log()
+            entry = self.tell(JobAccepted(job=_SPEC))
+            while entry.ended is None:
+                await asyncio.sleep(_HINDERED)
+            return await self.submit()
+
+        self.assert_refused(self.play(scenario()))
+
+    def test_a_moved_job_is_not_accepted_before_it_is_taken_up(self) -> None:
+        """Only the witnesses of its key know that it was refused."""
+
+        async def scenario() -> Message:
+            await self.zone.hold()
+            self.refuse_at('w-0', 'w-1')
+            self.run_log()
+            self.tell(JobAccepted(job=_SPEC), _MOVED)
+            return await self.submit()
+
+        self.assert_refused(self.play(scenario()))
+
+    def test_a_moved_job_is_accepted_once_it_is_taken_up(self) -> None:
+        async def scenario() -> Message:
+            await self.zone.hold()
+            self.run_log()
+            self.tell(JobAccepted(job=_SPEC), _MOVED)
+            return await self.submit()
+
+        self.assertIsInstance(self.play(scenario()), JobStatus)
