--- /dev/null
+++ b/orchidrail/scheduler/tests/test_job_claims.py
@@ -0,0 +1,79 @@
+"""Tests of whether a job was refused before it was kept, over its moves."""
+
+from __future__ import annotations
+
+import asyncio
+
+from orchidrail.jobs.book import JobEntry
+from orchidrail.jobs.records import JobAccepted
+from orchidrail.scheduler.daemon import SchedulerDaemon
+from orchidrail.scheduler.tests.job_case import JOB, SPEC, JobCase, moved
+from orchidrail.scheduler.tests.small_zone import TTL
+from orchidrail.types import Address, CallFailure, JobState, Seconds, WorkerId
+
+#: Longer than an owner takes to find out that a job was refused.
+_LONG: Seconds = 5
+
+
+class TakenUpJobTest(JobCase):
+    """Jobs of which one witness was told a refusal, the other was not.
+
+    Their caller was told that they may have run, so either end is right, but
+    one that was taken up must not be dropped by a later owner.
+    """
+
+    async def next_owner(self) -> SchedulerDaemon:
+        """Have another scheduler hold all workers."""
+        await self.zone.daemon.runner.close()
+        self.zone.clock.now += TTL
+        other = self.zone.start_daemon('s-2')
+        self.daemons.append(other)
+        await self.zone.hold(other)
+        return other
+
+    def assert_runs(self, daemon: SchedulerDaemon, entry: JobEntry) -> None:
+        """Fail unless a daemon runs the job and lets it go on."""
+        self.assertIsNone(entry.ended)
+        owned = daemon.runner.owned_by_job[JOB]
+        self.assertEqual('', owned.detail)
+        self.assertFalse(owned.cancelling.is_set())
+        self.assertIs(JobState.RUNNING, owned.state)
+
+    def test_it_goes_on_where_its_refusal_was_told(self) -> None:
+        """It moves back to the worker that keeps the refusal."""
+
+        async def scenario() -> None:
+            await self.zone.hold()
+            self.refuse_at('w-0')
+            self.run_log()
+            self.tell(JobAccepted(job=SPEC), moved(1, 'w-2', 'w-1'))
+            await asyncio.sleep(_LONG)
+            entry = self.tell(moved(2, 'w-0', 'w-3'))
+            await asyncio.sleep(_LONG)
+            self.assert_runs(self.zone.daemon, entry)
+
+        self.play(scenario())
+
+    def test_it_goes_on_if_its_owner_died_while_taking_it_up(self) -> None:
+        """The backup of its second pair never heard that it was taken up."""
+
+        async def scenario() -> None:
+            await self.zone.hold()
+            self.refuse_at('w-0')
+            records = (JobAccepted(job=SPEC), moved(1, 'w-2', 'w-3'))
+            failing = self.zone.transport.failing
+            failing[Address('at:w-3')] = CallFailure.NOT_SENT
+            self.tell(*records)
+            await asyncio.sleep(_LONG)
+            failing.clear()
+            other = await self.next_owner()
+            self.run_loop(other.commit.run())
+            self.run_loop(other.jobs_follower.run())
+            self.tell(*records, daemon=other)
+            await asyncio.sleep(_LONG)
+            self.zone.machine_by_name[WorkerId('w-1')].boot = 'b2'
+            entry = self.tell(moved(2, 'w-4', 'w-2'), daemon=other)
+            await asyncio.sleep(_LONG)
+            self.assert_runs(other, entry)
+
+        self.play(scenario())
