--- a/orchidrail/scheduler/job_claims.py
+++ b/orchidrail/scheduler/job_claims.py
@@ -105,7 +105,16 @@
                 raise DisownedError(marker.key)
 
     async def confirm(self, entry: JobEntry) -> bool:
-        """Tell whether the job was not refused to its caller."""
+        """Tell whether the job was not refused to its caller.
+
+        Only the witnesses that its key names are told of a refusal. That a
+        later generation was found not to be refused is kept by its own mark,
+        at both of its witnesses, so that no owner asks again.
+        """
+        if entry.former:
+            mark = recovered_mark(entry.spec.key, entry.generation)
+            await self._put_all(entry, [_marker(entry, mark, 'recovered')])
+            return True
         marker = _marker(entry, job_claim(entry.spec.key), 'accepted')
         report = await self._put_at_witness(entry, marker)
         if report.state is not TaskState.MARKER:
@@ -119,6 +128,8 @@
     async def recover(self, entry: JobEntry) -> list[TaskReport]:
         """Return the job's claims; earlier generations' are copied first.
 
+        That they were copied is noted only by `confirm`.
+
         They are read from the witness now: what it told when its lease was
         acquired may be older than claims that were made since.
         """
@@ -131,7 +142,6 @@
         claims = [*await self._read_former(entry), *kept]
         markers = [_marker(entry, claim.key, claim.note) for claim in claims]
         await self._put_all(entry, markers)
-        await self._put_all(entry, [_marker(entry, mark, 'recovered')])
         _log.info(
             'job recovered',
             job=entry.spec.key,
@@ -251,20 +261,29 @@
             for witness in pair:
                 found = await self._fence(entry, witness)
                 if found is not None:
-                    await self._confirm_at(entry, witness)
+                    await self._confirm_at(entry, past, witness)
                     return found
             if all(self._boots.is_lost(*witness) for witness in pair):
                 return await self._fence_zone(entry)
             await asyncio.sleep(_RETRY)
 
-    async def _confirm_at(self, entry: JobEntry, witness: Witness) -> None:
+    async def _confirm_at(
+        self,
+        entry: JobEntry,
+        past: Witnesses,
+        witness: Witness,
+    ) -> None:
         """Take the job up, or learn that it was refused to its caller.
 
+        Only the first generation's witnesses can tell.
+
         Raises
         ------
         RefusedMarkerError
             If it was refused: both witnesses of that time then say so.
         """
+        if past.generation:
+            return
         marker = _marker(entry, job_claim(entry.spec.key), 'accepted')
         message = KeepMarkers(tasks=[marker], boot=witness.boot)
         answer = await self._call(witness, message)
