--- a/orchidrail/jobs/owned_job.py
+++ b/orchidrail/jobs/owned_job.py
@@ -153,6 +153,8 @@
         self.witness = entry.witness
         self.state = JobState.QUEUED
         self.detail = ''
+        #: Refused to its caller before it was kept.
+        self.refused = False
         self.cancelling = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         count = entry.spec.count
--- a/orchidrail/jobs/records.py
+++ b/orchidrail/jobs/records.py
@@ -56,6 +56,8 @@
     state: JobState
     detail: str = ''
     answers: list[str] = []
+    #: It was refused to its caller before it was kept: none of it ever ran.
+    refused: bool = False
 
 
 class JobCancelled(_Record, frozen=True, tag='cancelled'):
--- a/orchidrail/scheduler/daemon.py
+++ b/orchidrail/scheduler/daemon.py
@@ -213,6 +213,13 @@
             self.keeper,
             self.members,
         )
+        self.claims = JobClaims(
+            self.ports,
+            self.keeper,
+            self.fleet,
+            self.calls,
+            self.boots,
+        )
         self.runner = JobRunner(
             self.ports,
             self.settings,
@@ -221,13 +228,7 @@
             placer,
             self.calls,
             self.commit,
-            JobClaims(
-                self.ports,
-                self.keeper,
-                self.fleet,
-                self.calls,
-                self.boots,
-            ),
+            self.claims,
             self.boots,
         )
         self.mover = JobMover(
--- a/orchidrail/scheduler/job_claims.py
+++ b/orchidrail/scheduler/job_claims.py
@@ -150,6 +150,19 @@
         )
         return claims
 
+    async def is_taken_up(self, entry: JobEntry) -> bool:
+        """Tell whether an owner of a moved job has copied its claims.
+
+        That it was not refused was found out on the way, for good: both
+        witnesses keep the mark of it.
+        """
+        mark = recovered_mark(entry.spec.key, entry.generation)
+        for witness in (entry.witness, entry.backup):
+            found = await self._fence(entry, witness) or ()
+            if mark not in {report.key for report in found}:
+                return False
+        return True
+
     async def note_end(self, entry: JobEntry) -> None:
         """Have both witnesses remember that the job has ended.
 
--- a/orchidrail/scheduler/job_desk.py
+++ b/orchidrail/scheduler/job_desk.py
@@ -11,7 +11,12 @@
 from orchidrail.bundles.model import WorkKind
 from orchidrail.deciding.engine import Declined, WorkItem
 from orchidrail.jobs.attempts import job_claim
-from orchidrail.jobs.records import JobAccepted, JobCancelled, encode_record
+from orchidrail.jobs.records import (
+    JobAccepted,
+    JobCancelled,
+    JobEnded,
+    encode_record,
+)
 from orchidrail.jobs.witnesses import Witness
 from orchidrail.keys import extend_key
 from orchidrail.logservice.ports import LogFailure
@@ -57,6 +62,7 @@
 _LEAST_LOOK: Seconds = 2
 _CANCEL_PATIENCE: Seconds = 5
 _WITNESS_FIELD = 2
+_REFUSED_BEFORE = 'the key was refused before; take a new one'
 _log = structlog.get_logger()
 
 
@@ -189,19 +195,33 @@
         """Return what the caller is told of a kept job, if that is sure.
 
         An earlier call with its key may have settled the job's claim: then
-        its owner drops it, though its record is in the log.
+        its owner drops it, though its record is in the log. So neither the
+        record nor a move nor an end shows that the job is accepted.
         """
         entry = self._daemon.book.entry_by_job.get(spec.key)
-        if entry is not None and (entry.generation or entry.ended):
-            return self._status(spec.key)
+        if entry is not None and entry.ended is not None:
+            return self._tell_ended(entry.ended)
+        if entry is not None and entry.former:
+            taken_up = await self._daemon.claims.is_taken_up(entry)
+            return self._status(spec.key) if taken_up else None
         state = await self._take_up_at_both(spec)
         if state is TaskState.MARKER:
             return _accepted(spec) if entry is None else self._status(spec.key)
         if state is TaskState.NEVER_STARTED:
-            detail = 'the key was refused before; take a new one'
-            return await self._decline(spec, RefusalCode.INVALID, detail, 0)
+            return await self._decline(
+                spec,
+                RefusalCode.INVALID,
+                _REFUSED_BEFORE,
+                0,
+            )
         return None
 
+    def _tell_ended(self, ended: JobEnded) -> Message:
+        """Return the end of a job, or the refusal if it was dropped for one."""
+        if ended.refused:
+            return Refusal(code=RefusalCode.INVALID, detail=_REFUSED_BEFORE)
+        return self._status(ended.job)
+
     async def _take_up_at_both(self, spec: JobSpec) -> TaskState | None:
         """Return ``MARKER``, or the first other state that a witness has."""
         state: TaskState | None = None
--- a/orchidrail/scheduler/job_runner.py
+++ b/orchidrail/scheduler/job_runner.py
@@ -249,6 +249,7 @@
         owned.recall(claims)
         if not confirmed:
             owned.detail = 'refused to its caller before it was kept'
+            owned.refused = True
             owned.cancelling.set()
 
     async def _run_group(self, owned: OwnedJob, group: TaskGroup) -> None:
@@ -508,4 +509,5 @@
         state=state,
         detail=detail,
         answers=answers,
+        refused=owned.refused,
     )
