--- a/orchidrail/scheduler/tests/test_job_claims.py
+++ b/orchidrail/scheduler/tests/test_job_claims.py
@@ -4,15 +4,26 @@
 
 import asyncio
 
-from orchidrail.jobs.book import JobEntry
-from orchidrail.jobs.records import JobAccepted
-from orchidrail.scheduler.daemon import SchedulerDaemon
+import msgspec
+
+from orchidrail.jobs.book import JobBook, JobEntry
+from orchidrail.jobs.records import JobAccepted, encode_record
+from orchidrail.scheduler.daemon import SchedulerDaemon, jobs_stream
 from orchidrail.scheduler.tests.job_case import JOB, SPEC, JobCase, moved
-from orchidrail.scheduler.tests.small_zone import TTL
-from orchidrail.types import Address, CallFailure, JobState, Seconds, WorkerId
+from orchidrail.scheduler.tests.small_zone import TTL, ZONE
+from orchidrail.types import (
+    Address,
+    CallFailure,
+    JobState,
+    Offset,
+    Seconds,
+    WorkerId,
+)
+from orchidrail.wire.messages import FenceJob
 
 #: Longer than an owner takes to find out that a job was refused.
 _LONG: Seconds = 5
+_STREAM = jobs_stream(ZONE)
 
 
 class TakenUpJobTest(JobCase):
@@ -77,3 +88,56 @@
             self.assert_runs(other, entry)
 
         self.play(scenario())
+
+
+class LateOwnerTest(JobCase):
+    """An owner whose fold doesn't tell yet that the job was moved."""
+
+    async def fence(self, generation: int, *workers: str) -> None:
+        """Have workers refuse what is of earlier generations."""
+        for worker in workers:
+            machine = self.zone.machine_by_name[WorkerId(worker)]
+            await machine.handle(FenceJob(job=JOB, generation=generation))
+
+    def test_a_fenced_witness_is_not_taken_for_a_refusal(self) -> None:
+        async def scenario() -> None:
+            await self.zone.hold()
+            await self.fence(1, 'w-1')
+            self.run_log()
+            entry = self.tell(JobAccepted(job=SPEC))
+            await asyncio.sleep(_LONG)
+            self.assertIsNone(entry.ended)
+
+        self.play(scenario())
+
+    def test_a_fenced_former_witness_is_not_taken_for_a_refusal(self) -> None:
+        async def scenario() -> None:
+            await self.zone.hold()
+            await self.fence(2, 'w-0', 'w-1')
+            self.run_log()
+            entry = self.tell(JobAccepted(job=SPEC), moved(1, 'w-2', 'w-3'))
+            await asyncio.sleep(_LONG)
+            self.assertIsNone(entry.ended)
+
+        self.play(scenario())
+
+    def test_a_refusal_found_after_a_move_does_not_end_the_job(self) -> None:
+        """The next owner read the witness that was told of no refusal."""
+
+        async def scenario() -> JobBook:
+            await self.zone.hold()
+            self.refuse_at('w-0')
+            accepted = JobAccepted(job=SPEC)
+            for record in (accepted, moved(1, 'w-2', 'w-1')):
+                payload = msgspec.json.encode([encode_record(record)])
+                await self.zone.services.append(_STREAM, payload.decode())
+            self.run_loop(self.zone.daemon.commit.run())
+            self.tell(accepted)
+            await asyncio.sleep(_LONG)
+            book = JobBook()
+            page = await self.zone.services.read(_STREAM, Offset(0), 9)
+            for kept in self.assert_ok(page).records:
+                book.apply(kept)
+            return book
+
+        self.assertEqual({JOB}, self.play(scenario()).open_jobs)
