--- a/orchidrail/scheduler/job_claims.py
+++ b/orchidrail/scheduler/job_claims.py
@@ -244,7 +244,14 @@
             await asyncio.sleep(_RETRY)
 
     def _check_kept(self, reports: list[TaskReport]) -> None:
+        """Fail unless a witness keeps the markers.
+
+        A witness that refuses one is fenced: a later generation is in the
+        log. That says nothing of whether the job was refused to its caller.
+        """
         for report in reports:
+            if is_refused(report):
+                raise DisownedError(report.key)
             if report.state is not TaskState.MARKER:
                 raise RefusedMarkerError(report.key)
 
