--- a/orchidrail/scheduler/tests/job_case.py
+++ b/orchidrail/scheduler/tests/job_case.py
@@ -17,6 +17,7 @@
 from orchidrail.scheduler.tests.small_zone import (
     BATCH,
     TENANT,
+    TTL,
     ZONE,
     SmallZone,
 )
@@ -96,6 +97,15 @@
         book.apply(LogRecord(Offset(0), 0, payload.decode()))
         return book.entry_by_job[JOB]
 
+    async def next_owner(self) -> SchedulerDaemon:
+        """Have another scheduler hold all workers."""
+        await self.zone.daemon.runner.close()
+        self.zone.clock.now += TTL
+        other = self.zone.start_daemon('s-2')
+        self.daemons.append(other)
+        await self.zone.hold(other)
+        return other
+
     def refuse_at(self, *workers: str) -> None:
         """Settle the job's claim, as a refusal of it does."""
         for worker in workers:
--- a/orchidrail/scheduler/tests/test_job_claims.py
+++ b/orchidrail/scheduler/tests/test_job_claims.py
@@ -10,7 +10,7 @@
 from orchidrail.jobs.records import JobAccepted, encode_record
 from orchidrail.scheduler.daemon import SchedulerDaemon, jobs_stream
 from orchidrail.scheduler.tests.job_case import JOB, SPEC, JobCase, moved
-from orchidrail.scheduler.tests.small_zone import TTL, ZONE
+from orchidrail.scheduler.tests.small_zone import ZONE
 from orchidrail.types import (
     Address,
     CallFailure,
@@ -33,15 +33,6 @@
     one that was taken up must not be dropped by a later owner.
     """
 
-    async def next_owner(self) -> SchedulerDaemon:
-        """Have another scheduler hold all workers."""
-        await self.zone.daemon.runner.close()
-        self.zone.clock.now += TTL
-        other = self.zone.start_daemon('s-2')
-        self.daemons.append(other)
-        await self.zone.hold(other)
-        return other
-
     def assert_runs(self, daemon: SchedulerDaemon, entry: JobEntry) -> None:
         """Fail unless a daemon runs the job and lets it go on."""
         self.assertIsNone(entry.ended)
@@ -127,6 +118,7 @@
         async def scenario() -> JobBook:
             await self.zone.hold()
             self.refuse_at('w-0')
+            await self.fence(1, 'w-1')
             accepted = JobAccepted(job=SPEC)
             for record in (accepted, moved(1, 'w-2', 'w-1')):
                 payload = msgspec.json.encode([encode_record(record)])
@@ -141,3 +133,25 @@
             return book
 
         self.assertEqual({JOB}, self.play(scenario()).open_jobs)
+
+    def test_a_refusal_that_was_found_holds_for_the_next_owner(self) -> None:
+        """Its end may come into the log late, when the witness is lost."""
+
+        async def scenario() -> list[str]:
+            await self.zone.hold()
+            self.refuse_at('w-0')
+            accepted = JobAccepted(job=SPEC)
+            self.tell(accepted)
+            await asyncio.sleep(_LONG)
+            machines = self.zone.machine_by_name
+            machines[WorkerId('w-0')].boot = 'b2'
+            other = await self.next_owner()
+            self.tell(accepted, moved(1, 'w-2', 'w-3'), daemon=other)
+            await asyncio.sleep(_LONG)
+            return [
+                spec.key
+                for machine in machines.values()
+                for spec in machine.running
+            ]
+
+        self.assertEqual([], self.play(scenario()))
