--- a/orchidrail/jobs/attempts.py
+++ b/orchidrail/jobs/attempts.py
@@ -72,6 +72,11 @@
     return TaskId(f'recovered/{job}/{generation}')
 
 
+def refused_mark(job: JobId, generation: int) -> TaskId:
+    """Return the key of the mark that an owner found the job refused."""
+    return TaskId(f'ended/{job}/refused/{generation}')
+
+
 def ended_mark(job: JobId) -> TaskId:
     """Return the key of the mark that a job has ended."""
     return TaskId(f'ended/{job}')
--- a/orchidrail/scheduler/job_claims.py
+++ b/orchidrail/scheduler/job_claims.py
@@ -18,6 +18,7 @@
     ended_mark,
     job_claim,
     recovered_mark,
+    refused_mark,
 )
 from orchidrail.keys import claim_of
 from orchidrail.scheduler.held_worker import is_refused
@@ -134,7 +135,7 @@
         acquired may be older than claims that were made since.
         """
         found = await self._read_witness(entry)
-        _check_not_over(entry, found)
+        _check_not_over(entry, found, entry.generation)
         mark = recovered_mark(entry.spec.key, entry.generation)
         kept = [report for report in found if is_claim(report)]
         if not entry.former or mark in [report.key for report in found]:
@@ -150,6 +151,20 @@
         )
         return claims
 
+    async def note_refused(self, entry: JobEntry) -> None:
+        """Have both witnesses remember that the job was found refused.
+
+        Done before its end is told: a next owner, which may have read another
+        witness than this one, has either fenced one of the two, or finds it.
+
+        Raises
+        ------
+        DisownedError
+            If it is for another owner to find out.
+        """
+        mark = refused_mark(entry.spec.key, entry.generation)
+        await self._put_all(entry, [_marker(entry, mark, 'refused')])
+
     async def is_taken_up(self, entry: JobEntry) -> bool:
         """Tell whether an owner of a moved job has copied its claims.
 
@@ -263,7 +278,7 @@
         claims: dict[TaskId, TaskReport] = {}
         for past in entry.former:
             found = await self._read_pair(entry, past)
-            _check_not_over(entry, found)
+            _check_not_over(entry, found, past.generation)
             claims.update((report.key, report) for report in found)
             mark = recovered_mark(entry.spec.key, past.generation)
             if mark in claims or not past.generation:
@@ -391,10 +406,18 @@
     )
 
 
-def _check_not_over(entry: JobEntry, found: list[TaskReport]) -> None:
-    mark = ended_mark(entry.spec.key)
-    if any(report.key == mark for report in found):
-        raise JobOverError(entry.spec.key)
+def _check_not_over(
+    entry: JobEntry,
+    found: list[TaskReport],
+    generation: int,
+) -> None:
+    """Fail if an owner of a generation has found the job to be over."""
+    job = entry.spec.key
+    known = {report.key for report in found}
+    if ended_mark(job) in known:
+        raise JobOverError(job)
+    if refused_mark(job, generation) in known:
+        raise RefusedMarkerError(job)
 
 
 def _claim_for(
--- a/orchidrail/scheduler/job_runner.py
+++ b/orchidrail/scheduler/job_runner.py
@@ -248,6 +248,7 @@
             claims, confirmed = [], False
         owned.recall(claims)
         if not confirmed:
+            await self._claims.note_refused(owned.entry)
             owned.detail = 'refused to its caller before it was kept'
             owned.refused = True
             owned.cancelling.set()
