--- a/orchidrail/scheduler/tests/test_job_desk.py
+++ b/orchidrail/scheduler/tests/test_job_desk.py
@@ -4,9 +4,17 @@
 
 import asyncio
 
+from orchidrail.bundles.model import Bundle
 from orchidrail.jobs.records import JobAccepted
 from orchidrail.scheduler.tests.job_case import SPEC, JobCase, moved
-from orchidrail.types import Address, CallFailure, Seconds, Verdict
+from orchidrail.scheduler.tests.small_zone import ZONE, bundle
+from orchidrail.types import (
+    Address,
+    CallFailure,
+    RefusalCode,
+    Seconds,
+    Verdict,
+)
 from orchidrail.wire.messages import JobStatus, Message, Refusal, SubmitJob
 
 _PATIENCE: Seconds = 5
@@ -73,6 +81,26 @@
         self.assertIs(Verdict.MAY_HAVE_RUN, answer.verdict)
 
 
+class UnknownClassTest(JobDeskTest):
+    """Jobs of a class that the scheduler has not heard of yet."""
+
+    def test_its_job_is_left_to_other_schedulers(self) -> None:
+        """Nothing is settled: the next one that is asked may accept it."""
+
+        async def scenario() -> Message:
+            await self.zone.hold()
+            daemon = self.zone.daemon
+            daemon.engine.use_bundle(Bundle(), ZONE)
+            self.run_log()
+            refusal = await self.submit()
+            self.assertIsInstance(refusal, Refusal)
+            self.assertIs(RefusalCode.NOT_HOLDER, refusal.code)
+            daemon.engine.use_bundle(bundle(), ZONE)
+            return await self.submit()
+
+        self.assertIsInstance(self.play(scenario()), JobStatus)
+
+
 class RefusedJobTest(JobDeskTest):
     """Jobs that an earlier call has refused, though their record was kept."""
 
--- a/orchidrail/scheduler/tests/test_request_desk.py
+++ b/orchidrail/scheduler/tests/test_request_desk.py
@@ -6,19 +6,28 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from orchidrail.bundles.model import Bundle
 from orchidrail.keys import RequestKey
 from orchidrail.scheduler.tests.small_zone import (
     ONE_SLOT,
     REQUEST,
     TENANT,
     TTL,
+    ZONE,
     SmallZone,
 )
 from orchidrail.testing import AsyncTestCase
-from orchidrail.types import RefusalCode, TaskState, Verdict, WorkerId
+from orchidrail.types import (
+    ClassName,
+    RefusalCode,
+    TaskState,
+    Verdict,
+    WorkerId,
+)
 from orchidrail.wire.messages import (
     Grant,
     GrantRequest,
+    KeyRequest,
     Message,
     Refusal,
     TaskReport,
@@ -103,6 +112,29 @@
 
         self.run_async(scenario())
 
+    def test_a_class_not_heard_of_is_left_to_other_schedulers(self) -> None:
+        """One that has just started has not read the bundle yet."""
+
+        async def scenario() -> Message:
+            await self.zone.hold()
+            self.zone.daemon.engine.use_bundle(Bundle(), ZONE)
+            return await self.grant()
+
+        answer = self.run_async(scenario())
+        self.assertIs(RefusalCode.NOT_HOLDER, answer.code)
+
+    def test_a_key_is_issued_only_for_a_class_heard_of(self) -> None:
+        """Of another it can't be told whether it needs a second witness."""
+
+        async def scenario() -> Message:
+            await self.zone.hold()
+            question = KeyRequest(tenant=TENANT, class_name=ClassName('new'))
+            return await self.zone.daemon.handle(question)
+
+        answer = self.run_async(scenario())
+        self.assertIsInstance(answer, Refusal)
+        self.assertIs(RefusalCode.NOT_HOLDER, answer.code)
+
     def test_room_comes_back_with_the_end(self) -> None:
         async def scenario() -> None:
             await self.zone.hold()
