--- a/orchidrail/scheduler/daemon.py
+++ b/orchidrail/scheduler/daemon.py
@@ -35,6 +35,7 @@
 from orchidrail.types import (
     FINAL_TASK_STATES,
     Address,
+    ClassName,
     JobId,
     RefusalCode,
     SchedulerId,
@@ -330,7 +331,8 @@
 
     @_answer.register
     async def _(self, message: GrantRequest) -> Message:
-        return await self.requests.grant(message)
+        unknown = self._pass_on_unknown(message.class_name)
+        return unknown or await self.requests.grant(message)
 
     @_answer.register
     async def _(self, message: TasksEnded) -> Message:
@@ -340,15 +342,19 @@
 
     @_answer.register
     async def _(self, message: KeyRequest) -> Message:
-        work_class = self.bundle.bundle.classes.get(message.class_name)
+        unknown = self._pass_on_unknown(message.class_name)
+        if unknown is not None:
+            return unknown
         key = self.requests.issue(message)
+        work_class = self.engine.find_class(message.class_name)
         if work_class is None or work_class.kind is WorkKind.REQUEST:
             return key
         return await self.jobs.extend_key(key)
 
     @_answer.register
     async def _(self, message: SubmitJob) -> Message:
-        return await self.jobs.submit(message)
+        unknown = self._pass_on_unknown(message.job.class_name)
+        return unknown or await self.jobs.submit(message)
 
     @_answer.register
     async def _(self, message: QueryJob) -> Message:
@@ -418,6 +424,17 @@
     async def _(self, message: QueryStatus) -> Message:
         return Status(document=self.gossiper.status_document())
 
+    def _pass_on_unknown(self, class_name: ClassName) -> Refusal | None:
+        """Leave work of a class not heard of to other schedulers.
+
+        Gateways check classes, so one that isn't known here shows that the
+        bundle here is older, or was not read yet after a start.
+        """
+        if self.engine.find_class(class_name) is not None:
+            return None
+        detail = f'{class_name!r} is not known here at the moment'
+        return Refusal(code=RefusalCode.NOT_HOLDER, detail=detail)
+
     def _take_ends(self, held: HeldWorker, tasks: list[TaskReport]) -> None:
         """Settle the accounts of what ended and tell the jobs' owners."""
         self.requests.take_ends(tasks)
