--- a/orchidrail/scheduler/job_claims.py
+++ b/orchidrail/scheduler/job_claims.py
@@ -18,6 +18,7 @@
     ended_mark,
     job_claim,
     recovered_mark,
+    refused_mark,
 )
 from orchidrail.keys import claim_of
 from orchidrail.scheduler.held_worker import is_refused
@@ -105,7 +106,16 @@
                 raise DisownedError(marker.key)
 
     async def confirm(self, entry: JobEntry) -> bool:
-        """Tell whether the job was not refused to its caller."""
+        """Tell whether the job was not refused to its caller.
+
+        Only the witnesses that its key names are told of a refusal. That a
+        later generation was found not to be refused is kept by its own mark,
+        at both of its witnesses, so that no owner asks again.
+        """
+        if entry.former:
+            mark = recovered_mark(entry.spec.key, entry.generation)
+            await self._put_all(entry, [_marker(entry, mark, 'recovered')])
+            return True
         marker = _marker(entry, job_claim(entry.spec.key), 'accepted')
         report = await self._put_at_witness(entry, marker)
         if report.state is not TaskState.MARKER:
@@ -119,11 +129,13 @@
     async def recover(self, entry: JobEntry) -> list[TaskReport]:
         """Return the job's claims; earlier generations' are copied first.
 
+        That they were copied is noted only by `confirm`.
+
         They are read from the witness now: what it told when its lease was
         acquired may be older than claims that were made since.
         """
         found = await self._read_witness(entry)
-        _check_not_over(entry, found)
+        _check_not_over(entry, found, entry.generation)
         mark = recovered_mark(entry.spec.key, entry.generation)
         kept = [report for report in found if is_claim(report)]
         if not entry.former or mark in [report.key for report in found]:
@@ -131,7 +143,6 @@
         claims = [*await self._read_former(entry), *kept]
         markers = [_marker(entry, claim.key, claim.note) for claim in claims]
         await self._put_all(entry, markers)
-        await self._put_all(entry, [_marker(entry, mark, 'recovered')])
         _log.info(
             'job recovered',
             job=entry.spec.key,
@@ -140,6 +151,33 @@
         )
         return claims
 
+    async def note_refused(self, entry: JobEntry) -> None:
+        """Have both witnesses remember that the job was found refused.
+
+        Done before its end is told: a next owner, which may have read another
+        witness than this one, has either fenced one of the two, or finds it.
+
+        Raises
+        ------
+        DisownedError
+            If it is for another owner to find out.
+        """
+        mark = refused_mark(entry.spec.key, entry.generation)
+        await self._put_all(entry, [_marker(entry, mark, 'refused')])
+
+    async def is_taken_up(self, entry: JobEntry) -> bool:
+        """Tell whether an owner of a moved job has copied its claims.
+
+        That it was not refused was found out on the way, for good: both
+        witnesses keep the mark of it.
+        """
+        mark = recovered_mark(entry.spec.key, entry.generation)
+        for witness in (entry.witness, entry.backup):
+            found = await self._fence(entry, witness) or ()
+            if mark not in {report.key for report in found}:
+                return False
+        return True
+
     async def note_end(self, entry: JobEntry) -> None:
         """Have both witnesses remember that the job has ended.
 
@@ -221,7 +259,14 @@
             await asyncio.sleep(_RETRY)
 
     def _check_kept(self, reports: list[TaskReport]) -> None:
+        """Fail unless a witness keeps the markers.
+
+        A witness that refuses one is fenced: a later generation is in the
+        log. That says nothing of whether the job was refused to its caller.
+        """
         for report in reports:
+            if is_refused(report):
+                raise DisownedError(report.key)
             if report.state is not TaskState.MARKER:
                 raise RefusedMarkerError(report.key)
 
@@ -233,7 +278,7 @@
         claims: dict[TaskId, TaskReport] = {}
         for past in entry.former:
             found = await self._read_pair(entry, past)
-            _check_not_over(entry, found)
+            _check_not_over(entry, found, past.generation)
             claims.update((report.key, report) for report in found)
             mark = recovered_mark(entry.spec.key, past.generation)
             if mark in claims or not past.generation:
@@ -251,20 +296,29 @@
             for witness in pair:
                 found = await self._fence(entry, witness)
                 if found is not None:
-                    await self._confirm_at(entry, witness)
+                    await self._confirm_at(entry, past, witness)
                     return found
             if all(self._boots.is_lost(*witness) for witness in pair):
                 return await self._fence_zone(entry)
             await asyncio.sleep(_RETRY)
 
-    async def _confirm_at(self, entry: JobEntry, witness: Witness) -> None:
+    async def _confirm_at(
+        self,
+        entry: JobEntry,
+        past: Witnesses,
+        witness: Witness,
+    ) -> None:
         """Take the job up, or learn that it was refused to its caller.
 
+        Only the first generation's witnesses can tell.
+
         Raises
         ------
         RefusedMarkerError
             If it was refused: both witnesses of that time then say so.
         """
+        if past.generation:
+            return
         marker = _marker(entry, job_claim(entry.spec.key), 'accepted')
         message = KeepMarkers(tasks=[marker], boot=witness.boot)
         answer = await self._call(witness, message)
@@ -352,10 +406,18 @@
     )
 
 
-def _check_not_over(entry: JobEntry, found: list[TaskReport]) -> None:
-    mark = ended_mark(entry.spec.key)
-    if any(report.key == mark for report in found):
-        raise JobOverError(entry.spec.key)
+def _check_not_over(
+    entry: JobEntry,
+    found: list[TaskReport],
+    generation: int,
+) -> None:
+    """Fail if an owner of a generation has found the job to be over."""
+    job = entry.spec.key
+    known = {report.key for report in found}
+    if ended_mark(job) in known:
+        raise JobOverError(job)
+    if refused_mark(job, generation) in known:
+        raise RefusedMarkerError(job)
 
 
 def _claim_for(
--- a/orchidrail/scheduler/job_runner.py
+++ b/orchidrail/scheduler/job_runner.py
@@ -248,7 +248,9 @@
             claims, confirmed = [], False
         owned.recall(claims)
         if not confirmed:
+            await self._claims.note_refused(owned.entry)
             owned.detail = 'refused to its caller before it was kept'
+            owned.refused = True
             owned.cancelling.set()
 
     async def _run_group(self, owned: OwnedJob, group: TaskGroup) -> None:
@@ -508,4 +510,5 @@
         state=state,
         detail=detail,
         answers=answers,
+        refused=owned.refused,
     )
