--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -17,7 +17,7 @@
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.types import JobId, Seconds, WorkerId
-from orchidrail.work.job import StepState, Task
+from orchidrail.work.step import StepState, Task
 from orchidrail.work.waits import WaitReason
 
 #: Least time between two passes; they take at most half of all time, so that
@@ -113,7 +113,7 @@
         step = waiting.step
         in_limit = self._within_limit(waiting, this_pass)
         allowed = in_limit
-        if waiting.timing.has_time(this_pass.wall):
+        if waiting.has_time(this_pass):
             allowed = _leave_headroom(step, allowed, this_pass)
         placed = 0
         if allowed and not waiting.blocked(this_pass):
--- a/orchidrail/shard/tests/test_obstacles.py
+++ b/orchidrail/shard/tests/test_obstacles.py
@@ -8,9 +8,9 @@
 from orchidrail.shard.tests.test_open_workers import advised, fill
 from orchidrail.shard.tests.test_placing import make_books, make_step
 from orchidrail.types import WorkerId
-from orchidrail.work.job import StepState
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
+from orchidrail.work.step import StepState
 
 _NOBODY: frozenset[WorkerId] = frozenset()
 _TASK = Size(4000)
@@ -55,10 +55,16 @@
 
     def test_a_closed_and_a_kept_worker_are_told(self) -> None:
         self.open_all()
+        self.books[2].listed = False
         self.books[0].rest(now=0, seconds=float('inf'))
         step = make_step(StepSpec(1, _TASK))
         found = self.counts(step, frozenset((WorkerId('b'),)))
-        expected = {Obstacle.CLOSED: 1, Obstacle.KEPT: 1, Obstacle.NONE: 2}
+        expected = {
+            Obstacle.RESTS: 1,
+            Obstacle.CLOSED: 1,
+            Obstacle.KEPT: 1,
+            Obstacle.NONE: 1,
+        }
         self.assertEqual(expected, found)
 
     def test_a_ticket_that_ran_out_is_told_last(self) -> None:
