--- a/orchidrail/shard/tests/test_roles.py
+++ b/orchidrail/shard/tests/test_roles.py
@@ -70,6 +70,20 @@
         found = self.with_room(_FILLING, _holding(_SERVING), make_books('v'))
         self.assertEqual(['v'], found)
 
+    def test_a_gang_shares_if_the_other_workers_do_not_hold_it(self) -> None:
+        gang = StepSpec(
+            2,
+            Size(1000),
+            gang=True,
+            fills=True,
+            most_per_worker=1,
+        )
+        serving = _holding(_SERVING)
+        found = self.with_room(gang, serving, make_books('v'))
+        self.assertEqual(['v', 'w'], sorted(found))
+        both = self.with_room(gang, serving, make_books('v'), make_books('u'))
+        self.assertEqual(['u', 'v'], sorted(both))
+
     def test_what_may_not_be_stopped_is_not_put_beside(self) -> None:
         self.assertEqual(
             [],
