--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -166,7 +166,7 @@
         if role_of(step.spec) is TaskRole.PLAIN:
             return found
         apart = [books for books in found if books.bears(step.spec)]
-        return apart if _has_copies(step, apart) else self._beside(step, found)
+        return apart if _hold(step, apart) else self._beside(step, found)
 
     def _beside(
         self,
@@ -240,10 +240,12 @@
     return _ByRoom(ordered, [books.free.millicores for books in ordered])
 
 
-def _has_copies(step: StepState, found: list[WorkerBooks]) -> bool:
-    """Whether any of the workers takes a task of a step."""
+def _hold(step: StepState, found: list[WorkerBooks]) -> bool:
+    """Whether workers take what must start together of a step."""
     spec = step.spec
-    return any(
-        books.copies(step.key, spec.charged, spec.most_per_worker) > 0
+    copies = sum(
+        books.copies(step.key, spec.charged, spec.most_per_worker)
         for books in found
     )
+    at_once = spec.count if spec.gang else 1
+    return copies >= at_once
