--- a/orchidrail/shard/earmarks.py
+++ b/orchidrail/shard/earmarks.py
@@ -81,10 +81,17 @@
 def _takes(step: StepState, books: WorkerBooks) -> int:
     """Return how many more tasks of a step a worker takes once it has room.
 
-    One that holds the most copies has none for it, for as long as those run.
+    One that holds the most copies has none for it, for as long as those run;
+    nor does the room that tasks which last have come free.
     """
     most = step.spec.most_per_worker
-    fitting = step.spec.charged.times_in(books.entry.capacity)
+    lasting = (
+        run.size or Size()
+        for run in books.run_by_key.values()
+        if run.task is not None and run.task.step.spec.lasting
+    )
+    comes_free = books.entry.capacity - sum(lasting, Size())
+    fitting = max(0, step.spec.charged.times_in(comes_free))
     if not most:
         return fitting
     return max(0, min(fitting, most - books.count_by_step[step.key]))
