--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -11,7 +11,7 @@
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard import runs
-from orchidrail.shard.books import WorkerBooks
+from orchidrail.shard.books import PlacedRun, WorkerBooks, note_progress
 from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.placing import Placement
 from orchidrail.shard.runs import RunTracker
@@ -262,6 +262,35 @@
 
         self.play(scene)
 
+    def test_what_fills_and_gets_nothing_does_not_close_its_worker(
+        self,
+    ) -> None:
+        """It stands still while others use all there is, and goes elsewhere."""
+
+        async def scene(shard: Shard) -> None:
+            shard.launch(shard.add(make_job(StepSpec(1, fills=True))))
+            await asyncio.sleep(_SOON)
+            await shard.look()
+            run = next(iter(shard.books.run_by_key.values()))
+            run.progress_at -= 2
+            await shard.look()
+            self.assertFalse(shard.books.stalled)
+            await asyncio.sleep(_SOON)
+            self.assertEqual([run.key], shard.worker.stops)
+
+        self.play(scene)
+
+    def test_a_long_run_moves_on_by_whole_percents(self) -> None:
+        """One of 200 s needs 2 s for each, and its estimate may be far off."""
+        for share, estimate in ((0, 200), (3, 200), (3, 1)):
+            task = make_job(StepSpec(1, estimate=estimate)).steps(0)[0].tasks[0]
+            key = RunKey(task.key, RunNumber(1))
+            run = PlacedRun(key, Size(), task, 0, confirmed_at=1)
+            note_progress(run, share, now=1 + 2 * share)
+            last = run.progress_at
+            self.assertFalse(run.stalled(last + 2.5), (share, estimate))
+            self.assertTrue(run.stalled(last + 9), (share, estimate))
+
     def test_a_worker_that_fails_two_jobs_rests(self) -> None:
         async def scene(shard: Shard) -> None:
             for number in range(2, 5):
