--- a/orchidrail/shard/books.py
+++ b/orchidrail/shard/books.py
@@ -23,9 +23,13 @@
 
 #: How long a worker gets no new work after it refused or failed an order.
 _REST: Seconds = 1.5
-#: Time without progress after which a run stands still: resuming from a
+#: Least time without progress after which a run stands still: resuming from a
 #: checkpoint takes up to 0.6 s, and a listing comes at least every 1.2 s.
 _STALLED_AFTER: Seconds = 1.5
+#: Percents that a run should have moved on by then: they may be listed whole,
+#: and a task's pace and estimate are rough.
+_STALLED_PERCENTS = 3
+_WHOLE = 100
 
 
 #: Time after its start within which a run counts as a cause of its worker's
@@ -124,7 +128,15 @@
         spec = self.task.step.spec
         if spec.lasting or (spec.gang and self._waits_for_gang()):
             return False
-        return now - self.progress_at > _STALLED_AFTER
+        percents = _STALLED_PERCENTS * self._percent_takes(spec.estimate)
+        return now - self.progress_at > max(_STALLED_AFTER, percents)
+
+    def _percent_takes(self, estimate: Seconds) -> Seconds:
+        """Return how long one percent takes, by its pace and its estimate."""
+        pace: Seconds = 0
+        if self.share_done and self.confirmed_at < self.progress_at:
+            pace = (self.progress_at - self.confirmed_at) / self.share_done
+        return max(pace, estimate / _WHOLE)
 
     def _waits_for_gang(self) -> bool:
         """Whether other members may not have come or not have ended yet."""
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -21,7 +21,7 @@
 from orchidrail.shard.crashes import LifeEnd
 from orchidrail.shard.earlier_runs import EarlierRuns
 from orchidrail.shard.placing import Placement
-from orchidrail.shard.roles import part
+from orchidrail.shard.roles import filling, part
 from orchidrail.shard.run_ends import RunEnds
 from orchidrail.shard.state import ShardState
 from orchidrail.tasks import TaskSet
@@ -392,13 +392,15 @@
         """
         now = self._state.clock()
         stalled = [run for run in books.run_by_key.values() if run.stalled(now)]
-        if bool(stalled) != books.stalled:
+        # What fills stands still while others use all that there is.
+        closes = len(stalled) > len(filling(stalled))
+        if closes != books.stalled:
             _log.info(
-                'worker stands still' if stalled else 'worker moves on',
+                'worker stands still' if closes else 'worker moves on',
                 worker=books.worker,
                 tasks=[run.key.task for run in stalled],
             )
-        books.stalled = bool(stalled)
+        books.stalled = closes
         for run in stalled:
             if run.task is not None and not run.task.step.spec.gang:
                 run.task.step.failed_workers.note_failure(books.worker, now)
