--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -378,6 +378,25 @@
 
         self.play(scene)
 
+    def test_a_step_that_has_waited_for_long_asks_however_many_do(self) -> None:
+        """Urgent steps ask at once, and may do so for as long as they come."""
+
+        async def scene(shard: _Scene) -> None:
+            await shard.add_worker('w-1')
+            shard.desk.use_lanes([InstanceId('lane')])
+            spec = StepSpec(1, Size(1000))
+            for number in range(4):
+                shard.add(_make_job(f'{number:016x}', spec, 0, advice=True))
+            late = _make_job('f' * 16, spec, 1, advice=True)
+            shard.add(late)
+            await asyncio.sleep(_SOON)
+            step = late.steps(0)[0]
+            step.tasks[0].waits_since = time.monotonic() - 3
+            await asyncio.sleep(4 * _SOON)
+            self.assertEqual(1, step.permits.asking)
+
+        self.play(scene)
+
     def test_a_step_that_could_not_ask_yet_asks_when_lanes_are_free(
         self,
     ) -> None:
