--- a/orchidrail/shard/questions.py
+++ b/orchidrail/shard/questions.py
@@ -69,6 +69,8 @@
         self._desk = desk
         self._approvals = Approvals()
         self._asking = 0
+        #: Those of them that are of steps which are not urgent.
+        self._asking_later = 0
         self._tasks = TaskSet('question')
 
     def close(self) -> None:
@@ -92,9 +94,11 @@
             step.job.queue.name,
             missing / copies,
         )
-        idle = self._desk.lanes - self._asking
-        if not step.job.urgent and idle < -self._desk.lanes * _AHEAD:
+        lanes = self._desk.lanes
+        # Urgent ones are not counted: they may come for as long as they like.
+        if not step.job.urgent and self._asking_later > lanes * (1 + _AHEAD):
             return
+        idle = lanes - self._asking
         parts = max(1, idle // _LANES_FOR_PART)
         most = _ASKED_AT_ONCE * parts
         about = unknown[: min(most, max(_ASKED_AT_ONCE, useful))]
@@ -133,6 +137,8 @@
     def _note_asking(self, step: StepState, change: int) -> None:
         step.permits.asking += change
         self._asking += change
+        if not step.job.urgent:
+            self._asking_later += change
 
     async def _ask_about(
         self,
