--- a/orchidrail/shard/tests/test_foreign_entries.py
+++ b/orchidrail/shard/tests/test_foreign_entries.py
@@ -23,11 +23,13 @@
 from orchidrail.store import KeyedRecord, Topic
 from orchidrail.store.memory import MemoryStore
 from orchidrail.types import (
+    Address,
     Epoch,
     ServiceName,
     WorkerId,
 )
 from orchidrail.work.records import encode
+from orchidrail.work.size import Size
 from orchidrail.workers.port import (
     RunEnding,
     RunKey,
@@ -57,6 +59,32 @@
 
         self.play(scene)
 
+    def test_the_next_owner_calls_the_worker_where_its_own_entry_says(
+        self,
+    ) -> None:
+        """The owner before had kept an entry that somebody else wrote."""
+
+        async def scene(owner: ShardOwner) -> None:
+            own = make_entry()
+            foreign = msgspec.structs.replace(
+                own,
+                service=ServiceName('other'),
+                address=Address('elsewhere:1'),
+                capacity=Size(1000, 1000),
+            )
+            record = KeyedRecord(own.name, encode(foreign))
+            await self.store.append(WORKERS, [record])
+            await asyncio.sleep(2 * READ)
+            successor = await self.take(1)
+            running = asyncio.create_task(successor.run())
+            await self.list_worker(listed=True)
+            await asyncio.sleep(2 * READ)
+            books = successor.state.books_by_worker[own.worker]
+            running.cancel()
+            self.assertEqual(own.address, books.session.entry.address)
+
+        self.play(scene)
+
     def test_entries_that_name_no_worker_are_told_once(self) -> None:
         async def scene(owner: ShardOwner) -> None:
             for _ in range(3):
