--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -273,6 +273,8 @@
     def _renew_entry(self, books: WorkerBooks, entry: WorkerEntry) -> None:
         """Take what a worker that is known says of itself now."""
         before = books.entry
+        if entry.address != books.session.entry.address:
+            entry = self._settle_address(books, entry)
         books.take_entry(entry)
         changed = (entry.state, entry.capacity) != (
             before.state,
@@ -291,6 +293,38 @@
             self._state.wanted.set()
             self._state.keep_worker(entry)
 
+    def _settle_address(
+        self,
+        books: WorkerBooks,
+        entry: WorkerEntry,
+    ) -> WorkerEntry:
+        """Return an entry with the address at which its worker is called.
+
+        A life keeps its address, so one of two entries is not the worker's
+        own. One that answers is believed; else the newer entry is tried: what
+        an owner before kept may be the other's.
+        """
+        session = books.session
+        _log.warning(
+            'entry with another address',
+            worker=books.worker,
+            address=entry.address,
+            called_at=session.entry.address,
+            answers=session.reachable,
+        )
+        if session.reachable:
+            return msgspec.structs.replace(
+                entry,
+                address=session.entry.address,
+                service=session.entry.service,
+            )
+        session.entry = msgspec.structs.replace(
+            session.entry,
+            address=entry.address,
+            service=entry.service,
+        )
+        return entry
+
     def _open_session(self, entry: WorkerEntry) -> None:
         """Deal with a life, under a higher fencing token than any before it.
 
