--- a/orchidrail/shard/open_workers.py
+++ b/orchidrail/shard/open_workers.py
@@ -20,6 +20,10 @@
 from orchidrail.work.size import Size
 from orchidrail.work.step import StepState
 
+#: Longest time for which a task that was at work, and is to be back, is held
+#: back for other work: a third of the time that it may be away.
+_HELD_BACK_FOR: Seconds = 2.0
+
 
 class _ByRoom(NamedTuple):
     """A service's workers, those with least free processor time first."""
@@ -72,6 +76,14 @@
         """The workers that are kept from the steps to come."""
         return self._kept
 
+    def overdue(self, step: StepState) -> bool:
+        """Whether a task that was at work has been held back for long enough.
+
+        It is placed then on what is kept for others too.
+        """
+        since = step.away_since()
+        return since is not None and self._now - since > _HELD_BACK_FOR
+
     def of_service(self, service: ServiceName) -> list[WorkerBooks]:
         """Return all open workers of a service, also those that are kept."""
         by_room = self._by_service.get(service)
@@ -158,10 +170,11 @@
     def _with_room(self, step: StepState) -> list[WorkerBooks]:
         """Return the workers with room, beside tasks that the step bears."""
         size: Size = step.spec.charged
+        kept = frozenset() if self.overdue(step) else self._kept
         found = [
             books
             for books in self._with_processor_time(step, size.millicores)
-            if size.fits(books.free) and books.worker not in self._kept
+            if size.fits(books.free) and books.worker not in kept
         ]
         if role_of(step.spec) is TaskRole.PLAIN:
             return found
--- a/orchidrail/shard/passes.py
+++ b/orchidrail/shard/passes.py
@@ -32,9 +32,6 @@
 #: Longest time for which a step is passed over: a bound on the harm of a change
 #: that nobody thought of, a sixth of the time that work may stand still.
 _BLOCKED_FOR: Seconds = 0.5
-#: Longest time for which a task that was at work, and is to be back, leaves its
-#: room to urgent work to come: a third of the time that it may be away.
-_HELD_BACK_FOR: Seconds = 2.0
 
 
 class _Blocked(NamedTuple):
@@ -79,14 +76,7 @@
         """
         if not self.timing.has_time(this_pass.wall):
             return False
-        if not self.step.spec.lasting:
-            return True
-        before = this_pass.now - _HELD_BACK_FOR
-        return not any(
-            task.waits_since is not None and task.waits_since < before
-            for task in self.tasks
-            if task.run
-        )
+        return not this_pass.workers.overdue(self.step)
 
     def blocked(self, this_pass: Pass) -> bool:
         """Whether it is known that the step finds no room now."""
--- a/orchidrail/shard/tests/test_open_workers.py
+++ b/orchidrail/shard/tests/test_open_workers.py
@@ -83,6 +83,17 @@
         step = make_step(StepSpec(1, Size(4000)))
         self.assertEqual(['c', 'a'], _names(workers.with_room(step)))
 
+    def test_a_lasting_task_that_is_to_be_back_takes_kept_workers(self) -> None:
+        """Seen on a drawn day: away for 9.5 s with room on kept workers."""
+        step = make_step(StepSpec(1, Size(4000), lasting=True))
+        task = step.tasks[0]
+        task.run, task.waits_since = RunNumber(1), 10
+        every = {books.worker for books in self.books}
+        for now, expected in ((11, []), (13, ['c', 'b', 'a'])):
+            workers = OpenWorkers(self.books, now)
+            workers.keep(every)
+            self.assertEqual(expected, _names(workers.with_room(step)))
+
     def test_only_permitted_workers_are_found_where_advice_is_needed(
         self,
     ) -> None:
--- a/orchidrail/work/step.py
+++ b/orchidrail/work/step.py
@@ -139,6 +139,17 @@
             waiting.sort(key=_waits_since)
         return waiting
 
+    def away_since(self) -> Seconds | None:
+        """Return since when a task that lasts, and was at work, waits."""
+        if not self.spec.lasting:
+            return None
+        since = (
+            task.waits_since
+            for task in self.tasks
+            if task.run and task.waits_since is not None
+        )
+        return min(since, default=None)
+
     def next_run(self, tasks: list[Task]) -> RunNumber:
         """Return a run number above all that were used by `tasks`."""
         return RunNumber(max(task.run for task in tasks) + 1)
