--- a/orchidrail/gateway/tests/test_request_runner.py
+++ b/orchidrail/gateway/tests/test_request_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from random import Random
 
@@ -21,6 +22,7 @@
     Epoch,
     RefusalCode,
     RequestKey,
+    Seconds,
     TaskId,
     TaskState,
     TenantId,
@@ -42,7 +44,9 @@
 )
 
 _ZONE = ZoneId('hall-1')
-_SCHEDULER = Address('10.0.0.1:1')
+_SCHEDULER, _OTHER = Address('10.0.0.1:1'), Address('10.0.0.3:1')
+#: Patience at which a scheduler lets a request wait for its turn.
+_QUEUES: Seconds = 0.15
 _WORKER = Address('10.0.0.2:1')
 _KEY = ParsedKey(RequestKey('k.hall-1.w-1.b'), 0, _ZONE, WorkerId('w-1'), 'b')
 _GRANT = Grant(
@@ -70,6 +74,25 @@
     return TaskReports(tasks=[_report(state, note)], boot='b')
 
 
+def _one_of_two(
+    asked: list[Address],
+    other: Message | CallFailure,
+) -> Answerer:
+    """Answer as two schedulers do, of which only one holds workers."""
+
+    def answer(address: Address, message: Message) -> Message | CallFailure:
+        if not isinstance(message, GrantRequest):
+            return _report(TaskState.FINISHED)
+        asked.append(address)
+        if address == _OTHER:
+            return other
+        if message.patience < _QUEUES:
+            return Refusal(code=RefusalCode.OVERLOADED)
+        return _GRANT
+
+    return answer
+
+
 class RequestRunnerTest(AsyncTestCase):
     def reply_to(
         self,
@@ -77,11 +100,13 @@
         *,
         keyed: bool = False,
         patience: float = 0.2,
+        schedulers: tuple[Address, ...] = (_SCHEDULER,),
+        seed: int = 1,
     ) -> Reply:
         transport = ScriptedTransport(answerer)
         directory = SchedulerDirectory(
-            {_ZONE: [_SCHEDULER]},
-            Random(1),
+            {_ZONE: list(schedulers)},
+            Random(seed),
             time.monotonic,
         )
         runner = RequestRunner(
@@ -121,6 +146,24 @@
         self.assertIs(Verdict.NOT_RUN, reply.verdict)
         self.assertEqual(3, reply.retry_after)
 
+    def test_it_waits_at_the_scheduler_that_could_take_it(self) -> None:
+        """The other is away or passes on; this one lets work wait."""
+        others = (
+            Refusal(code=RefusalCode.NOT_HOLDER),
+            CallFailure.NOT_SENT,
+            CallFailure.ANSWER_LOST,
+        )
+        for other, seed in itertools.product(others, range(8)):
+            asked: list[Address] = []
+            reply = self.reply_to(
+                _one_of_two(asked, other),
+                patience=0.4,
+                schedulers=(_SCHEDULER, _OTHER),
+                seed=seed,
+            )
+            self.assertIs(Verdict.RAN, reply.verdict, (other, seed))
+            self.assertLessEqual(asked.count(_OTHER), 1, (other, seed))
+
     def test_verdicts_of_a_keyed_request(self) -> None:
         """After each failure the worker's own word decides the verdict."""
         cases = (
