--- a/orchidrail/deciding/engine.py
+++ b/orchidrail/deciding/engine.py
@@ -230,12 +230,19 @@
         waiting = self.queue.drain()
         return [self._pass_on(item) for item in waiting]
 
+    def decline_stuck(self, now: Seconds) -> list[Declined]:
+        """Take out waiting requests that no open worker here could hold."""
+        if not any(self._is_stuck(item) for item in self.queue.candidates(now)):
+            return []
+        stuck = self.queue.remove_where(self._is_stuck)
+        return [self._pass_on(item) for item in stuck]
+
     def check(self, item: WorkItem, now: Seconds) -> Declined | None:
         """Refuse what can never run or would wait too long."""
         never = self.check_fit(item)
         if never is not None:
             return never
-        if not self.accepting:
+        if not self.accepting or self._is_stuck(item):
             return self._pass_on(item)
         return self._check_wait(item, now)
 
@@ -592,8 +599,18 @@
             )
         return None
 
+    def _is_stuck(self, item: WorkItem) -> bool:
+        """Tell whether a request had better go to another scheduler.
+
+        Tasks of jobs wait: their owner offers them to others meanwhile.
+        """
+        work_class = self.find_class(item.class_name)
+        if work_class is None or work_class.kind is not WorkKind.REQUEST:
+            return False
+        return not self.shard.open_fits(item.size)
+
     def _pass_on(self, item: WorkItem) -> Declined:
-        detail = 'no worker is held here at the moment'
+        detail = 'no worker here could take it at the moment'
         return self._decline(item, RefusalCode.NOT_HOLDER, detail)
 
     def _decline(
--- a/orchidrail/deciding/fair_queue.py
+++ b/orchidrail/deciding/fair_queue.py
@@ -6,13 +6,16 @@
 import itertools
 import math
 from collections import deque
-from typing import Generic, Protocol, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from sortedcontainers import SortedList
 
 from orchidrail.resources import NOTHING, Resources
 from orchidrail.types import ClassName, Seconds, TenantId
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class Waiting(Protocol):
     """What the queue needs to know of an item."""
@@ -214,8 +217,16 @@
 
     def drain(self) -> list[ItemT]:
         """Take everything out."""
-        lines = self._line_by_class.values()
-        taken = [item for line in lines for item in line.waiting_items()]
+        return self.remove_where(lambda _: True)
+
+    def remove_where(self, chosen: Callable[[ItemT], bool]) -> list[ItemT]:
+        """Take out and return the waiting items that are chosen."""
+        taken = [
+            item
+            for line in self._line_by_class.values()
+            for item in line.waiting_items()
+            if chosen(item)
+        ]
         for item in taken:
             self.remove(item)
         return taken
--- a/orchidrail/deciding/shard.py
+++ b/orchidrail/deciding/shard.py
@@ -156,6 +156,13 @@
         largest = reversed(self._by_shape)
         return any(size.fits(shape) for shape in largest)
 
+    def open_fits(self, size: Resources) -> bool:
+        """Tell whether an open place could, once empty, hold `size`."""
+        return any(
+            place.open and size.fits(place.ledger.capacity)
+            for place in self.place_by_worker.values()
+        )
+
     def _bucket(self, cores: int) -> dict[WorkerId, None]:
         while len(self._workers_by_cores) <= cores:
             self._workers_by_cores.append({})
--- a/orchidrail/scheduler/dispatcher.py
+++ b/orchidrail/scheduler/dispatcher.py
@@ -114,6 +114,8 @@
             self.engine.refresh_standing(now)
         for placed in self.engine.pump(now):
             self._settle(placed.item, placed)
+        for stuck in self.engine.decline_stuck(now):
+            self._settle(stuck.item, stuck)
         for late in self.engine.expired(now):
             self._settle(late, self._too_late(late))
         self.engine.earmark_for(now)
