--- a/orchidrail/gateway/request_runner.py
+++ b/orchidrail/gateway/request_runner.py
@@ -189,8 +189,10 @@
         give_up = self._clock() + self._patience(call)
         while True:
             holder, answer = await self._ask_in_turn(call, avoid)
-            passing = isinstance(answer, Refusal) and answer.code in _PASSING
-            if not passing or self._clock() + _HOLDER_PAUSE >= give_up:
+            if (
+                not _is_passing(answer)
+                or self._clock() + _HOLDER_PAUSE >= give_up
+            ):
                 return holder, answer
             await self._pause_for_holder()
 
@@ -199,25 +201,44 @@
         call: RequestCall,
         avoid: list[WorkerId],
     ) -> tuple[Address, Message]:
-        refusal: Message = Refusal(
-            code=RefusalCode.UNREACHABLE,
-            detail=f'no scheduler of zone {self._zone!r} can be reached',
-            retry_after=spread(self._random, _UNREACHABLE_RETRY),
-        )
         order = self._client.order(self._zone)
+        busy = Address('')
+        answer: Message = self._unreachable()
         for address in order:
             last = address == order[-1]
             request = self._grant_request(call, avoid, first_tries=not last)
-            answer = await self._client.ask(
-                address,
-                request,
-                request.patience + _GRANT_MARGIN,
-            )
-            if isinstance(answer, Ok):
-                refusal = answer.ok_value
-                if not _goes_on(refusal):
-                    return address, refusal
-        return Address(''), refusal
+            answer = await self._ask_one(address, request)
+            if not _goes_on(answer):
+                return address, answer
+            if not _is_passing(answer):
+                busy = address
+        if busy and _is_passing(answer):
+            # The last could take nothing; this one lets work wait.
+            request = self._grant_request(call, avoid)
+            return busy, await self._ask_one(busy, request)
+        return Address(''), answer
+
+    async def _ask_one(
+        self,
+        address: Address,
+        request: GrantRequest,
+    ) -> Message:
+        """Ask one scheduler; one that fails counts as passing on."""
+        answer = await self._client.ask(
+            address,
+            request,
+            request.patience + _GRANT_MARGIN,
+        )
+        return (
+            answer.ok_value if isinstance(answer, Ok) else self._unreachable()
+        )
+
+    def _unreachable(self) -> Refusal:
+        return Refusal(
+            code=RefusalCode.UNREACHABLE,
+            detail=f'no scheduler of zone {self._zone!r} can be reached',
+            retry_after=spread(self._random, _UNREACHABLE_RETRY),
+        )
 
     async def _pause_for_holder(self) -> None:
         await asyncio.sleep(spread(self._random, _HOLDER_PAUSE))
@@ -324,7 +345,7 @@
                 self._patience(call) + _GRANT_MARGIN,
             )
             refusal = answer.ok()
-            passing = isinstance(refusal, Refusal) and refusal.code in _PASSING
+            passing = refusal is not None and _is_passing(refusal)
             if await self._is_unlisted(key):
                 return holder, answer
             # A grant starts nothing, so asking again is safe.
@@ -497,6 +518,10 @@
     return isinstance(answer, Refusal) and answer.code in _GOING_ON
 
 
+def _is_passing(answer: Message) -> bool:
+    return isinstance(answer, Refusal) and answer.code in _PASSING
+
+
 def _after(reply: Reply, *, touched: bool) -> Reply:
     """Return the reply to a request whose earlier attempts may have run."""
     if touched and reply.verdict is Verdict.NOT_RUN:
