--- a/orchidrail/gateway/request_runner.py
+++ b/orchidrail/gateway/request_runner.py
@@ -374,7 +374,7 @@
         report = await self._start(call, holder, grant)
         if isinstance(report, TaskReport):
             return _reply_to(report)
-        note = ClaimNote(grant.worker, grant.boot, grant.address, key.task)
+        note = ClaimNote(grant.worker, grant.boot, grant.address, grant.task)
         refusal = Refusal(
             code=RefusalCode.UNREACHABLE,
             detail=f'{grant.worker!r}: {report.value}',
--- a/orchidrail/gateway/tests/test_request_runner.py
+++ b/orchidrail/gateway/tests/test_request_runner.py
@@ -6,6 +6,8 @@
 import time
 from random import Random
 
+import msgspec
+
 from orchidrail.bundles.model import WorkClass, WorkKind
 from orchidrail.gateway.directory import SchedulerDirectory
 from orchidrail.gateway.request_runner import RequestCall, RequestRunner
@@ -215,6 +217,25 @@
             reply = self.reply_to(answer, keyed=True)
             self.assertIs(expected, reply.verdict, (start, settled))
 
+    def test_a_grant_of_another_task_is_settled_by_its_name(self) -> None:
+        """The key was claimed for room that another scheduler gave."""
+        other = TaskId('other')
+        asked: list[TaskId] = []
+
+        def answer(_: Address, message: Message) -> Message | CallFailure:
+            if isinstance(message, GrantRequest):
+                return msgspec.structs.replace(_GRANT, task=other)
+            if isinstance(message, SettleTasks):
+                asked.extend(message.keys)
+                return _settled(TaskState.FINISHED)
+            if isinstance(message, StartTask):
+                return CallFailure.ANSWER_LOST
+            return _HOLDER
+
+        reply = self.reply_to(answer, keyed=True)
+        self.assertIs(Verdict.RAN, reply.verdict)
+        self.assertEqual([other], asked)
+
     def test_an_unclaimed_key_is_refused_for_good(self) -> None:
         answers: dict[type[Message], Message] = {
             GrantRequest: Refusal(code=RefusalCode.NOT_HOLDER),
--- a/orchidrail/membership/view.py
+++ b/orchidrail/membership/view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from random import Random
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
@@ -17,6 +17,9 @@
 )
 from orchidrail.wire.messages import Gossip, MemberState, ZoneDigest
 
+if TYPE_CHECKING:
+    from orchidrail.resources import Resources
+
 #: Members told of in one exchange, so that its size is constant.
 MEMBERS_PER_EXCHANGE = 6
 _LEAVING_PER_EXCHANGE = 16
@@ -114,6 +117,18 @@
             if now - heard.at <= self.timeout
         ]
 
+    def peers_with_room(
+        self,
+        size: Resources,
+        now: Seconds,
+    ) -> list[MemberState]:
+        """Return the peers that told of a worker with room for `size`."""
+        roomy = [
+            peer for peer in self.peers(now) if size.fits(peer.largest_free)
+        ]
+        # One order for all, so that two large groups don't block each other.
+        return sorted(roomy, key=lambda peer: peer.name)
+
     def address_of(self, name: SchedulerId) -> Address | None:
         """Return a member's address, if it is known."""
         heard = self._heard_by_name.get(name)
--- a/orchidrail/scheduler/daemon.py
+++ b/orchidrail/scheduler/daemon.py
@@ -29,6 +29,7 @@
 from orchidrail.scheduler.job_mover import JobMover
 from orchidrail.scheduler.job_runner import JobRunner
 from orchidrail.scheduler.lease_keeper import LeaseKeeper
+from orchidrail.scheduler.peer_rooms import PeerRooms
 from orchidrail.scheduler.placer import Placer, ReservationBook
 from orchidrail.scheduler.request_desk import RequestDesk
 from orchidrail.scheduler.zone_calls import ZoneCalls
@@ -198,6 +199,7 @@
             self.dispatcher,
             self.keeper,
             self.calls,
+            PeerRooms(self.ports, self.members),
         )
         self.reservations = ReservationBook(
             self.ports,
--- a/orchidrail/scheduler/placer.py
+++ b/orchidrail/scheduler/placer.py
@@ -190,7 +190,8 @@
 
     async def _reserve_elsewhere(self, item: WorkItem) -> list[TaskPlace]:
         """Reserve room for the whole group at others, or nothing."""
-        peers = self._peers_with_room(item)
+        now = self._ports.clock()
+        peers = self._members.peers_with_room(item.size, now)
         places: list[TaskPlace] = []
         for index in range(item.gang):
             place = await self._reserve_one(item, index, peers)
@@ -255,16 +256,6 @@
             return None
         return LocalPlace(held, task, self._dispatcher)
 
-    def _peers_with_room(self, item: WorkItem) -> list[MemberState]:
-        now = self._ports.clock()
-        roomy = [
-            peer
-            for peer in self._members.peers(now)
-            if item.size.fits(peer.largest_free)
-        ]
-        # One order for all, so that two large groups don't block each other.
-        return sorted(roomy, key=lambda peer: peer.name)
-
 
 class _Kept(NamedTuple):
     task: TaskId
--- a/orchidrail/scheduler/request_desk.py
+++ b/orchidrail/scheduler/request_desk.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from orchidrail.bundles.model import WaitingPolicy
 from orchidrail.deciding.engine import Declined, Placed, WorkItem
@@ -42,6 +42,7 @@
     from orchidrail.scheduler.dispatcher import Dispatcher
     from orchidrail.scheduler.held_worker import HeldWorker
     from orchidrail.scheduler.lease_keeper import LeaseKeeper
+    from orchidrail.scheduler.peer_rooms import PeerRooms
     from orchidrail.scheduler.ports import Ports
     from orchidrail.scheduler.zone_calls import ZoneCalls
     from orchidrail.settings import SchedulerSettings
@@ -74,6 +75,7 @@
         dispatcher: Dispatcher,
         keeper: LeaseKeeper,
         calls: ZoneCalls,
+        rooms: PeerRooms,
     ) -> None:
         """Start with nothing granted."""
         self._ports = ports
@@ -81,6 +83,7 @@
         self._dispatcher = dispatcher
         self._keeper = keeper
         self._calls = calls
+        self._rooms = rooms
         self._granted_by_task: dict[TaskId, _Granted] = {}
         self._granting_by_task: dict[TaskId, asyncio.Task[Message]] = {}
 
@@ -189,7 +192,7 @@
         item = self._item(message, key.task)
         outcome = await self._dispatcher.place(item)
         if isinstance(outcome, Declined):
-            return await self._decline(key, witness, outcome)
+            return await self._decline(message, key, witness, outcome)
         place = outcome.place
         held = self._keeper.authorised(place.worker)
         if held is None:
@@ -205,8 +208,39 @@
         if isinstance(claimed, Ok) and _is_new(claimed.ok_value, note):
             return self._grant_at(outcome)
         self._dispatcher.undo(outcome)
+        return self._not_claimed(claimed, key)
+
+    async def _grant_elsewhere(
+        self,
+        message: GrantRequest,
+        key: ParsedKey,
+        witness: HeldWorker,
+    ) -> Message | None:
+        """Claim a key for room of another scheduler, if one has some.
+
+        Only the holder of its witness can claim it, so that passing it on is
+        of no use while the witness stays here.
+        """
+        if not witness.authorised():
+            return None
+        grant = await self._rooms.find(message)
+        if grant is None:
+            return None
+        note = ClaimNote(grant.worker, grant.boot, grant.address, grant.task)
+        claimed = await witness.start(_claim_spec(message, key, note))
+        if isinstance(claimed, Ok) and _is_new(claimed.ok_value, note):
+            return grant
+        # The other scheduler takes the room back when the grant runs out.
+        return self._not_claimed(claimed, key)
+
+    def _not_claimed(
+        self,
+        claimed: Result[TaskReport, StartFailure],
+        key: ParsedKey,
+    ) -> Message:
+        """Answer a key whose claim was not newly made here."""
         if isinstance(claimed, Ok) and not is_refused(claimed.ok_value):
-            return self._join(claimed.ok_value, key)
+            return self._join(claimed.ok_value)
         if claimed != Err(StartFailure.UNSURE):
             return _taking_over(f'the lease of {key.witness!r} has lapsed')
         return _unknowable('the claim could not be made for certain')
@@ -234,14 +268,16 @@
 
     async def _decline(
         self,
+        message: GrantRequest,
         key: ParsedKey,
         witness: HeldWorker,
         declined: Declined,
     ) -> Message:
-        """Refuse a key for good, unless it was claimed before."""
+        """Refuse a key for good, unless it was claimed or can go elsewhere."""
         if declined.code is RefusalCode.NOT_HOLDER:
-            # Another scheduler may still take it.
-            return _refusal_of(declined)
+            granted = await self._grant_elsewhere(message, key, witness)
+            # Without a grant the next holder of the witness may still take it.
+            return granted or _refusal_of(declined)
         note = ClaimNote(
             key.witness,
             key.boot,
@@ -254,16 +290,16 @@
         report = settled.ok_value[0]
         if report.state is TaskState.NEVER_STARTED:
             return _refusal_of(declined)
-        return self._join(report, key)
+        return self._join(report)
 
-    def _join(self, report: TaskReport, key: ParsedKey) -> Message:
+    def _join(self, report: TaskReport) -> Message:
         """Answer a key that was claimed, or refused, before."""
         if report.state is not TaskState.MARKER:
             detail = 'the key was refused before; take a new one'
             return Refusal(code=RefusalCode.INVALID, detail=detail)
         note = ClaimNote.parse(report.note)
         return Grant(
-            task=key.task,
+            task=note.task,
             worker=note.worker,
             boot=note.boot,
             address=note.address,
--- a/orchidrail/scheduler/tests/test_closed_workers.py
+++ b/orchidrail/scheduler/tests/test_closed_workers.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from orchidrail.jobs.records import JobAccepted
-from orchidrail.keys import RequestKey
+from orchidrail.keys import RequestKey, parse_key
 from orchidrail.resources import Resources
 from orchidrail.scheduler.tests.job_case import JOB, SPEC, JobCase
 from orchidrail.scheduler.tests.small_zone import (
@@ -14,7 +15,14 @@
     TENANT,
     SmallZone,
 )
-from orchidrail.types import RefusalCode, Seconds, WorkerId
+from orchidrail.types import (
+    Address,
+    CallFailure,
+    RefusalCode,
+    Seconds,
+    Verdict,
+    WorkerId,
+)
 from orchidrail.wire.messages import Grant, GrantRequest, Message, Refusal
 
 #: How long the caller would wait for a place.
@@ -177,6 +185,52 @@
 
         self.play(scenario())
 
+    def test_a_key_that_may_have_run_is_not_granted_again(self) -> None:
+        """It was granted room here before the worker was leaving."""
+
+        async def scenario() -> None:
+            await self.hold_one_each()
+            place = self.zone.held('w-0').place
+            place.open = True
+            key = self.zone.key('w-0')
+            first = await self.grant(key)
+            place.open = False
+            again = await asyncio.wait_for(self.grant(key), _SOON)
+            self.assertEqual(WorkerId('w-0'), first.worker)
+            self.assertEqual(first.worker, again.worker)
+            self.assertEqual(first.task, again.task)
+
+        self.play(scenario())
+
+    def test_a_key_that_was_refused_stays_refused(self) -> None:
+        async def scenario() -> Message:
+            await self.hold_one_each()
+            key = self.zone.key('w-0')
+            machine = self.zone.machine_by_name[WorkerId('w-0')]
+            parsed = parse_key(key, time.time()).ok()
+            machine.settle([parsed.claim])
+            return await asyncio.wait_for(self.grant(key), _SOON)
+
+        answer = self.play(scenario())
+        self.assertIsInstance(answer, Refusal)
+        self.assertIs(RefusalCode.INVALID, answer.code)
+
+    def test_an_unsure_claim_may_have_run(self) -> None:
+        """The witness has taken the claim, but its answer is lost."""
+
+        async def scenario() -> Message:
+            await self.hold_one_each()
+            failing = self.zone.transport.failing
+            failing[Address('at:w-0')] = CallFailure.ANSWER_LOST
+            return await asyncio.wait_for(
+                self.grant(self.zone.key('w-0')),
+                _SOON,
+            )
+
+        answer = self.play(scenario())
+        self.assertIsInstance(answer, Refusal)
+        self.assertIs(Verdict.MAY_HAVE_RUN, answer.verdict)
+
     def test_a_job_of_a_leaving_witness_is_started_there(self) -> None:
         """Its task waits here, too, while it is offered to the other."""
 
