--- a/orchidrail/deciding/engine.py
+++ b/orchidrail/deciding/engine.py
@@ -186,6 +186,8 @@
         self._promise_by_worker: dict[WorkerId, _Promise] = {}
         #: Cleared before a planned stop: others take the work.
         self.accepting = True
+        #: Capacity of the largest open worker of each other scheduler.
+        self.peer_shapes: list[Resources] = []
 
     def use_bundle(self, bundle: Bundle, zone: ZoneId) -> None:
         """Decide by `bundle` from now on."""
@@ -231,7 +233,7 @@
         return [self._pass_on(item) for item in waiting]
 
     def decline_stuck(self, now: Seconds) -> list[Declined]:
-        """Take out waiting requests that no open worker here could hold."""
+        """Take out waiting requests that others could take, but none here."""
         if not any(self._is_stuck(item) for item in self.queue.candidates(now)):
             return []
         stuck = self.queue.remove_where(self._is_stuck)
@@ -602,12 +604,15 @@
     def _is_stuck(self, item: WorkItem) -> bool:
         """Tell whether a request had better go to another scheduler.
 
+        While none of them could take it either, it keeps its turn here.
         Tasks of jobs wait: their owner offers them to others meanwhile.
         """
         work_class = self.find_class(item.class_name)
         if work_class is None or work_class.kind is not WorkKind.REQUEST:
             return False
-        return not self.shard.open_fits(item.size)
+        if self.shard.open_fits(item.size):
+            return False
+        return any(item.size.fits(shape) for shape in self.peer_shapes)
 
     def _pass_on(self, item: WorkItem) -> Declined:
         detail = 'no worker here could take it at the moment'
--- a/orchidrail/deciding/shard.py
+++ b/orchidrail/deciding/shard.py
@@ -144,6 +144,15 @@
                 return place.ledger.free
         return NOTHING
 
+    def largest_open(self) -> Resources:
+        """Return the capacity of the open place with most cores."""
+        shapes = (
+            place.ledger.capacity
+            for place in self.place_by_worker.values()
+            if place.open
+        )
+        return max(shapes, key=_shape_key, default=NOTHING)
+
     def total_free(self) -> Resources:
         """Return the sum of the free room of all places."""
         total = NOTHING
--- a/orchidrail/scheduler/gossiper.py
+++ b/orchidrail/scheduler/gossiper.py
@@ -126,7 +126,17 @@
             queued=len(daemon.engine.queue),
             held=len(daemon.keeper.held_by_worker),
             largest_free=daemon.engine.shard.largest_free(),
+            largest_open=daemon.engine.shard.largest_open(),
         )
+        self._tell_engine()
+
+    def _tell_engine(self) -> None:
+        """Let decisions know what the peers could take."""
+        daemon = self._daemon
+        peers = daemon.members.peers(daemon.ports.clock())
+        daemon.engine.peer_shapes = [
+            peer.largest_open for peer in peers if not peer.leaving
+        ]
 
     def _peer_addresses(self) -> list[Address]:
         daemon = self._daemon
@@ -158,6 +168,7 @@
     def _take(self, news: Gossip) -> None:
         daemon = self._daemon
         daemon.members.take(news, daemon.ports.clock())
+        self._tell_engine()
         for worker in news.leaving:
             if worker in daemon.fleet.by_worker:
                 daemon.fleet.hint_leaving(worker)
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -369,6 +369,8 @@
     held: int = 0
     #: The largest room on any one worker held.
     largest_free: Resources = NOTHING
+    #: The largest of its workers that take new work, however full.
+    largest_open: Resources = NOTHING
 
 
 class ZoneDigest(Message, frozen=True):
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -295,6 +295,7 @@
   queued @7 :Int64;
   held @8 :Int64;
   largestFree @9 :Resources;
+  largestOpen @10 :Resources;
 }
 
 struct ZoneDigest {
