--- a/orchidrail/deciding/shard.py
+++ b/orchidrail/deciding/shard.py
@@ -144,6 +144,15 @@
                 return place.ledger.free
         return NOTHING
 
+    def largest_open(self) -> Resources:
+        """Return the capacity of the open place with most cores."""
+        shapes = (
+            place.ledger.capacity
+            for place in self.place_by_worker.values()
+            if place.open
+        )
+        return max(shapes, key=_shape_key, default=NOTHING)
+
     def total_free(self) -> Resources:
         """Return the sum of the free room of all places."""
         total = NOTHING
@@ -156,6 +165,13 @@
         largest = reversed(self._by_shape)
         return any(size.fits(shape) for shape in largest)
 
+    def open_fits(self, size: Resources) -> bool:
+        """Tell whether an open place could, once empty, hold `size`."""
+        return any(
+            place.open and size.fits(place.ledger.capacity)
+            for place in self.place_by_worker.values()
+        )
+
     def _bucket(self, cores: int) -> dict[WorkerId, None]:
         while len(self._workers_by_cores) <= cores:
             self._workers_by_cores.append({})
