--- a/standins/tests/test_held_back.py
+++ b/standins/tests/test_held_back.py
@@ -8,20 +8,14 @@
 from standins.model import CellLoad, CellModel, QueueLoad, Surge
 from standins.model.load import Draw
 from standins.model.tenants import TenantLoad
+from standins.tests.loads import LISTENERS
 
-_LISTENERS = QueueLoad(
-    name='listeners',
+#: Estimates are far longer than such a task may be away.
+_LONG = msgspec.structs.replace(
+    LISTENERS,
     per_s=0.5,
-    worth=2,
-    priority=1,
-    stretch=2.2,
-    target=2.5,
-    tasks=Draw(10),
-    cores=Draw(6),
-    megabytes=Draw(4000),
     work=Draw(60),
     fails=0.5,
-    stays=Draw(80),
 )
 _QUICK = QueueLoad(
     name='quick',
@@ -69,7 +63,7 @@
             Surge('quick', at, lasts=3, times=2) for at in range(2, 40, 6)
         ]
         load = CellLoad(
-            [_LISTENERS, _QUICK],
+            [_LONG, _QUICK],
             workers=12,
             lasts=40,
             surges=surges,
@@ -81,18 +75,12 @@
     def test_no_tenant_waits_for_a_gang_that_finds_no_room(self) -> None:
         """What lasts has the rest of its limit, and never ends."""
         tenant = TenantLoad('stores', share=1, weight=50, cores=150)
-        lasting = QueueLoad(
+        lasting = msgspec.structs.replace(
+            LISTENERS,
             name='lasting',
             per_s=0.08,
-            worth=2,
-            priority=1,
-            stretch=2.2,
-            target=2.5,
-            tasks=Draw(10),
             cores=Draw(3),
-            megabytes=Draw(4000),
-            work=Draw(0.5),
-            stays=Draw(80),
+            fails=0,
         )
         load = CellLoad(
             [lasting, _GANGS, _SMALL],
@@ -108,7 +96,7 @@
     def test_a_task_that_lasts_is_not_held_back_for_a_gang(self) -> None:
         """Workers are kept for it, and it never finds room beside the rest."""
         wide = msgspec.structs.replace(
-            _LISTENERS,
+            _LONG,
             name='wide',
             per_s=0.15,
             tasks=Draw(6),
--- a/standins/tests/test_lasting.py
+++ b/standins/tests/test_lasting.py
@@ -20,25 +20,13 @@
 import msgspec
 from testtools import TestCase
 
-from standins.model import CellLoad, CellModel, QueueLoad
+from standins.model import CellLoad, CellModel
 from standins.model.load import Breakage, Draw
+from standins.tests.loads import LISTENERS
 
 _SEEDS = range(1, 5)
-_LISTENERS = QueueLoad(
-    name='listeners',
-    per_s=0.2,
-    worth=2,
-    priority=1,
-    stretch=2.2,
-    target=2.5,
-    tasks=Draw(10),
-    cores=Draw(6),
-    megabytes=Draw(4000),
-    work=Draw(0.5),
-    fails=0.1,
-    apart=1,
-    stays=Draw(80),
-)
+#: Each task is on a worker of its own.
+_APART = msgspec.structs.replace(LISTENERS, apart=1)
 _ADVICE = (0.56, 0.008, 2.0)
 _BREAKAGES = [Breakage(at, lasts=2.5, share=0.33) for at in (6, 12)]
 
@@ -53,11 +41,11 @@
             self.assertEqual((0, 0), (outcome.overfull, outcome.doubled))
 
     def test_a_task_is_back_though_all_other_workers_hold_one(self) -> None:
-        self.assert_all_back(CellLoad([_LISTENERS], workers=12, lasts=20))
+        self.assert_all_back(CellLoad([_APART], workers=12, lasts=20))
 
     def test_a_task_is_back_where_few_workers_are_permitted(self) -> None:
         listeners = msgspec.structs.replace(
-            _LISTENERS,
+            _APART,
             advice=_ADVICE,
             good=0.3,
         )
@@ -79,7 +67,7 @@
         most of the time, while others of the step waited for it.
         """
         listeners = msgspec.structs.replace(
-            _LISTENERS,
+            _APART,
             tasks=Draw(24),
             work=Draw(2, 0.5, 4),
             stays=Draw(60),
@@ -93,7 +81,7 @@
     def test_a_task_is_back_on_a_full_cell(self) -> None:
         """Room is where a run of the step has just failed, and only there."""
         listeners = msgspec.structs.replace(
-            _LISTENERS,
+            _APART,
             per_s=0.1,
             tasks=Draw(95),
             work=Draw(20),
--- a/standins/tests/test_roles.py
+++ b/standins/tests/test_roles.py
@@ -11,23 +11,16 @@
 
 from standins.model import CellLoad, CellModel, QueueLoad
 from standins.model.load import Draw
+from standins.tests.loads import LISTENERS
 
 _SEEDS = range(1, 5)
 _WORKERS = 12
-_SERVING = QueueLoad(
+_SERVING = msgspec.structs.replace(
+    LISTENERS,
     name='serving',
-    per_s=0.2,
-    worth=2,
-    priority=1,
-    stretch=2.2,
-    target=2.5,
     tasks=Draw(6),
     cores=Draw(4),
-    megabytes=Draw(4000),
-    work=Draw(0.5),
-    fails=0.1,
     apart=1,
-    stays=Draw(80),
     serves=True,
 )
 _FILLING = QueueLoad(
