--- a/orchidrail/shard/crashes.py
+++ b/orchidrail/shard/crashes.py
@@ -65,15 +65,13 @@
     calm: bool
 
 
-#: Suspicion that one end adds. `GIVEN_UP_AT` is reached by a first crash and a
-#: trial in calm times, and by four crashes at the latest, however many workers
-#: crash by chance: users allow two starts after the third. A task that ends its
-#: workers after seconds is found so in calm times only. On four modelled days
-#: (`crash*`, 20 seeds each, 35,000 jobs) no sound job was given up, also where
-#: 30% of the workers crash each 3 s; to give up after any two crashes gave up
-#: 279 of them.
+#: Suspicion that one end adds. `GIVEN_UP_AT` is reached by a first crash and
+#: two trials in calm times, since two crashes may be chance, and by four at
+#: the latest, however many workers crash by chance: users allow two starts
+#: after the third. A task that ends its workers after seconds is found so in
+#: calm times only.
 _SUSPICION_BY_SIGHT = {
-    _Sight(young=True, trial=True, calm=True): 6,
+    _Sight(young=True, trial=True, calm=True): 5,
     _Sight(young=True, trial=True, calm=False): 2,
     _Sight(young=True, trial=False, calm=True): 2,
     _Sight(young=True, trial=False, calm=False): 2,
