--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -272,9 +272,9 @@
 
     def _renew_entry(self, books: WorkerBooks, entry: WorkerEntry) -> None:
         """Take what a worker that is known says of itself now."""
+        if not self._settle_address(books, entry):
+            return
         before = books.entry
-        if entry.address != books.session.entry.address:
-            entry = self._settle_address(books, entry)
         books.take_entry(entry)
         changed = (entry.state, entry.capacity) != (
             before.state,
@@ -297,14 +297,17 @@
         self,
         books: WorkerBooks,
         entry: WorkerEntry,
-    ) -> WorkerEntry:
-        """Return an entry with the address at which its worker is called.
+    ) -> bool:
+        """Return whether an entry is the worker's own, as far as is known.
 
         A life keeps its address, so one of two entries is not the worker's
-        own. One that answers is believed; else the newer entry is tried: what
-        an owner before kept may be the other's.
+        own. While it answers, the other is passed over, with the room that it
+        names; else the newer entry is tried: what an owner before kept may be
+        the other's.
         """
         session = books.session
+        if entry.address == session.entry.address:
+            return True
         _log.warning(
             'entry with another address',
             worker=books.worker,
@@ -313,17 +316,13 @@
             answers=session.reachable,
         )
         if session.reachable:
-            return msgspec.structs.replace(
-                entry,
-                address=session.entry.address,
-                service=session.entry.service,
-            )
+            return False
         session.entry = msgspec.structs.replace(
             session.entry,
             address=entry.address,
             service=entry.service,
         )
-        return entry
+        return True
 
     def _open_session(self, entry: WorkerEntry) -> None:
         """Deal with a life, under a higher fencing token than any before it.
--- a/orchidrail/shard/tests/test_foreign_entries.py
+++ b/orchidrail/shard/tests/test_foreign_entries.py
@@ -59,6 +59,27 @@
 
         self.play(scene)
 
+    def test_a_worker_that_answers_keeps_the_room_of_its_own_entry(
+        self,
+    ) -> None:
+        """Seen in the soak: it was given more than it has room for."""
+
+        async def scene(owner: ShardOwner) -> None:
+            own = make_entry()
+            foreign = msgspec.structs.replace(
+                own,
+                address=Address('elsewhere:1'),
+                capacity=own.capacity + own.capacity,
+            )
+            record = KeyedRecord(own.name, encode(foreign))
+            await self.store.append(WORKERS, [record])
+            await asyncio.sleep(2 * READ)
+            books = owner.state.books_by_worker[own.worker]
+            self.assertEqual(own.capacity, books.entry.capacity)
+            self.assertEqual(own.address, books.session.entry.address)
+
+        self.play(scene)
+
     def test_the_next_owner_calls_the_worker_where_its_own_entry_says(
         self,
     ) -> None:
