wire: set the fields of a message one by one

Encoding a heartbeat takes 25-34 us instead of 120-130 us (PeerState, 210 bytes, loop of 3,000 in one process on the shared machine); pycapnp spends the rest on the conversion from a dictionary.

--- a/orchidrail/wire/codec.py
+++ b/orchidrail/wire/codec.py
@@ -48,16 +48,37 @@
     >>> decode(encode(7, Ack()))
     Envelope(correlation=7, message=Ack())
     """
-    name = _name_by_type[type(message)]
-    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
-    body = {name: fields}
-    envelope = _schema.Envelope.new_message(
-        correlation=correlation,
-        body=body,
-    )
+    envelope = _schema.Envelope.new_message()
+    envelope.correlation = correlation
+    body = envelope.body.init(_name_by_type[type(message)])
+    _set_fields(body, msgspec.to_builtins(message, builtin_types=(bytes,)))
     return bytes(envelope.to_bytes_packed())
 
 
+def _set_fields(builder: Any, fields: dict[str, Any]) -> None:
+    """Set the fields of a record in a message.
+
+    Setting fields one by one takes a fifth of the time of the conversion from
+    a dictionary in pycapnp.
+    """
+    for name, value in fields.items():
+        if isinstance(value, list):
+            _set_items(builder.init(name, len(value)), value)
+        elif isinstance(value, dict):
+            _set_fields(builder.init(name), value)
+        else:
+            setattr(builder, name, value)
+
+
+def _set_items(builder: Any, values: list[Any]) -> None:
+    """Set the items of a list in a message."""
+    for index, value in enumerate(values):
+        if isinstance(value, dict):
+            _set_fields(builder[index], value)
+        else:
+            builder[index] = value
+
+
 def decode(frame: bytes) -> Envelope:
     """Decode a frame made by `encode`.
 
