shard: skip blocked steps that reserve workers or wait for a lane

A step was examined in every pass if it needed a reservation, had unchecked workers or a failed worker, and whenever the reservations of others changed. It is now examined only if a request would be sent, a usable worker has more free capacity or was released, or the failed worker is not the only one with capacity; it still renews its reservation. When a step became overdue is found once a pass. Free capacity on quarantined workers and unchecked workers that return are noticed at once, no longer within 0.5 s.

--- a/orchidrail/shard/advice_requester.py
+++ b/orchidrail/shard/advice_requester.py
@@ -94,6 +94,17 @@
         """Cancel all requests in progress."""
         self._tasks.close()
 
+    def accepts_request(self, rank: Rank, step: StepState) -> bool:
+        """Whether a step may request advice on unchecked workers now.
+
+        Urgent requests are not limited.
+        """
+        queued_per_lane = (
+            _QUEUED_PER_LANE_OVERDUE if is_overdue(rank) else _QUEUED_PER_LANE
+        )
+        max_calls = self._dispatcher.lanes * (1 + queued_per_lane)
+        return step.job.urgent or self._initial_calls <= max_calls
+
     def request_candidates(
         self,
         rank: Rank,
@@ -113,16 +124,7 @@
             step.job.queue.name,
             missing / copies,
         )
-        lanes = self._dispatcher.lanes
-        queued_per_lane = (
-            _QUEUED_PER_LANE_OVERDUE if is_overdue(rank) else _QUEUED_PER_LANE
-        )
-        # Urgent requests are not limited.
-        if not step.job.urgent and self._initial_calls > lanes * (
-            1 + queued_per_lane
-        ):
-            return
-        idle = lanes - self._calls_in_flight
+        idle = self._dispatcher.lanes - self._calls_in_flight
         calls = max(1, idle // _IDLE_LANES_PER_CALL)
         max_candidates = _WORKERS_PER_CALL * calls
         candidates = unchecked[
--- a/orchidrail/shard/candidate_workers.py
+++ b/orchidrail/shard/candidate_workers.py
@@ -77,6 +77,7 @@
         ] = {}
         self._capacities_by_service: dict[ServiceName, set[Size]] = {}
         self._half_free_by_service: dict[ServiceName, bool] = {}
+        self._overdue_since_by_step: dict[str, Seconds | None] = {}
         tracked_by_service: dict[ServiceName, list[TrackedWorker]] = (
             defaultdict(list)
         )
@@ -107,6 +108,19 @@
         -------
         None if the step may still be deferred for other work.
         """
+        try:
+            return self._overdue_since_by_step[step.key]
+        except KeyError:
+            since = self._find_overdue_since(step)
+            self._overdue_since_by_step[step.key] = since
+            return since
+
+    def note_limit_reached(self, step: StepState) -> None:
+        """Record that its tenant's limit prevents a step from starting."""
+        step.limit_reached_at = self._now
+        self._overdue_since_by_step.pop(step.key, None)
+
+    def _find_overdue_since(self, step: StepState) -> Seconds | None:
         since = step.interrupted_since()
         if since is not None and self._now - since > _MAX_INTERRUPTED_DEFERRAL:
             return since
@@ -149,11 +163,16 @@
             self._with_label_by_need[key] = found
         return found
 
+    def find(self, workers: frozenset[WorkerId]) -> list[TrackedWorker]:
+        """Return those of some workers that are candidates."""
+        by_worker = self._tracked_by_worker
+        return [by_worker[one] for one in workers if one in by_worker]
+
     def unchecked(self, step: StepState) -> list[TrackedWorker]:
         """Return workers that the advice service was not asked about."""
-        unchecked = self._tracked_by_worker.keys() - step.permits.checked
-        if not unchecked:
+        if self._tracked_by_worker.keys() <= step.permits.checked:
             return []
+        unchecked = self._tracked_by_worker.keys() - step.permits.checked
         return self._usable(
             step, [self._tracked_by_worker[one] for one in unchecked]
         )
@@ -184,6 +203,10 @@
             tracked for tracked in found if not self._is_avoided(step, tracked)
         ]
 
+    def has_capacity(self, step: StepState) -> bool:
+        """Whether any worker has capacity, also one that is avoided."""
+        return bool(self._find_with_capacity(step))
+
     def max_copies(self, spec: StepSpec, service: ServiceName) -> int:
         """Return how many of a step's tasks fit on the largest worker."""
         return max(
--- a/orchidrail/shard/placement_pass.py
+++ b/orchidrail/shard/placement_pass.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from orchidrail.shard.candidate_workers import CandidateWorkers
@@ -48,8 +49,6 @@
     checked: int
     permitted: int
     calls_in_flight: int
-    #: Reserved workers that the step could not use.
-    reserved: frozenset[WorkerId]
     #: Whether the step was overdue, and whether it could use quarantined
     #: workers.
     overdue: bool
@@ -61,8 +60,9 @@
 
     Near full load, many steps wait for capacity, and in each pass only a few
     workers have more free capacity than before. A step that found none is
-    examined again only if one of its permitted workers has more, or if another
-    of the blocking conditions has changed.
+    examined again only if one of its permitted workers has more or is no longer
+    reserved, if it may request advice, or if another of the blocking conditions
+    has changed.
     """
 
     def __init__(
@@ -77,6 +77,11 @@
         self.tasks = tasks
         self._blocked: _BlockingConditions | None = None
         self._blocked_until: Seconds = 0
+        #: Reserved workers that the step could not use when it was examined.
+        self._reserved_by_others: frozenset[WorkerId] = frozenset()
+        #: Whether it was not examined against all workers.
+        self._has_unchecked = False
+        self._rank: Rank = (0,)
         self._reserved: set[WorkerId] = set()
         self._reserved_until: Seconds = 0
 
@@ -96,47 +101,86 @@
         Work over its tenant's fair share stays behind work within the share, no
         matter how long it has waited.
         """
-        regular = self.timing.rank(this_pass.wall)
+        self._rank = self.timing.rank(this_pass.wall)
         if self.timing.over_share:
-            return regular
+            return self._rank
         since = this_pass.workers.overdue_since(self.step)
-        return regular if since is None else min(regular, overdue_rank(since))
+        if since is not None:
+            self._rank = min(self._rank, overdue_rank(since))
+        return self._rank
 
     def blocked(self, this_pass: PlacementPass) -> bool:
-        """Whether the step is known to find no free capacity now."""
+        """Whether the step is known to find no free capacity now.
+
+        It is called in each pass, as `this_pass` has only the changes since the
+        last one.
+        """
+        if not self._still_blocked(this_pass):
+            self._blocked = None
+        return self._blocked is not None
+
+    def _still_blocked(self, this_pass: PlacementPass) -> bool:
+        reserved_before = self._reserved_by_others
+        self._reserved_by_others = this_pass.workers.reserved
         if self._blocked is None or this_pass.now >= self._blocked_until:
             return False
         if self._blocked != self._blocking_conditions(this_pass):
             return False
-        size = self.step.spec.charged
-        advised = self.step.job.queue.advice is not None
-        permitted_ids = self.step.permits.permitted
-        return not any(
-            size.fits(tracked.free)
-            for tracked in this_pass.with_more_free
-            if not advised or tracked.worker in permitted_ids
+        released = reserved_before - self._reserved_by_others
+        changed = this_pass.with_more_free + this_pass.workers.find(released)
+        return not (
+            self._fits_any(changed)
+            or self._may_request_advice(changed, this_pass)
         )
 
     def mark_blocked(self, this_pass: PlacementPass) -> None:
         """Record that none of the step's tasks found capacity.
 
         A step is still examined in each pass if something that the blocking
-        conditions do not cover may unblock it: workers that have not been
-        checked yet, a worker other than those on which it failed, capacity
-        beside tasks of another QoS class.
+        conditions do not cover may unblock it: a worker other than those on
+        which it failed, capacity beside tasks of another QoS class.
         """
         step = self.step
-        # A step with reservations has to renew them in each pass.
+        self._has_unchecked = this_pass.has_unchecked(step)
         examined_anyway = (
-            this_pass.needs_reservation(step)
-            or bool(step.failed_workers)
-            or qos_class_of(step.spec) is not QosClass.PLAIN
-            or this_pass.may_request_advice(step)
+            qos_class_of(step.spec) is not QosClass.PLAIN
+            or (
+                self._has_unchecked
+                and this_pass.accepts_request(self._rank, step)
+            )
+            or (step.failed_workers and this_pass.workers.has_capacity(step))
         )
         if not examined_anyway:
             self._blocked = self._blocking_conditions(this_pass)
             self._blocked_until = this_pass.now + _MAX_SKIP_DURATION
 
+    def _fits_any(self, changed: list[TrackedWorker]) -> bool:
+        """Whether a permitted worker has capacity for one of the tasks."""
+        size = self.step.spec.charged
+        advised = self.step.job.queue.advice is not None
+        permitted_ids = self.step.permits.permitted
+        return any(
+            size.fits(tracked.free)
+            for tracked in changed
+            if not advised or tracked.worker in permitted_ids
+        )
+
+    def _may_request_advice(
+        self,
+        changed: list[TrackedWorker],
+        this_pass: PlacementPass,
+    ) -> bool:
+        """Whether a request about unchecked workers would be sent now."""
+        permits = self.step.permits
+        if self.step.job.queue.advice is None:
+            return False
+        self._has_unchecked = self._has_unchecked or any(
+            tracked.worker not in permits.checked for tracked in changed
+        )
+        if not self._has_unchecked or permits.calls_in_flight:
+            return False
+        return this_pass.accepts_request(self._rank, self.step)
+
     def choose_reserved_workers(
         self, missing: int, this_pass: PlacementPass
     ) -> set[WorkerId]:
@@ -160,12 +204,16 @@
             len(permits.checked),
             len(permits.permitted),
             permits.calls_in_flight,
-            this_pass.workers.reserved,
             this_pass.workers.overdue(self.step),
             this_pass.workers.may_use_quarantined(self.step),
         )
 
 
+def _accept_request(rank: Rank, step: StepState) -> bool:
+    """Accept any advice request."""
+    return True
+
+
 class FreeCapacitySnapshot:
     """Free capacity of each worker at the end of the last pass."""
 
@@ -203,9 +251,12 @@
         headroom: Headroom,
         with_more_free: list[TrackedWorker],
         quarantined: list[TrackedWorker],
+        accepts_request: Callable[[Rank, StepState], bool] = _accept_request,
     ) -> None:
         """Start with all workers that accept work, and quarantined ones."""
         self.with_more_free = with_more_free
+        #: Whether another advice request of a step would be sent.
+        self.accepts_request = accepts_request
         self.now = now
         self.wall = wall
         self.workers = CandidateWorkers(accepting, now, quarantined)
@@ -252,7 +303,7 @@
             self._reserving_steps += 1
             self.workers.reserve(reserved)
 
-    def may_request_advice(self, step: StepState) -> bool:
+    def has_unchecked(self, step: StepState) -> bool:
         """Whether unchecked workers exist and no advice call is in flight."""
         if step.job.queue.advice is None or step.permits.calls_in_flight:
             return False
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from operator import itemgetter
 
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher
@@ -61,6 +62,7 @@
         #: Steps with startable tasks, of all open jobs.
         self._waiting_by_job: dict[JobId, list[WaitingStep]] = {}
         self._free_capacity = FreeCapacitySnapshot()
+        self._free_quarantined = FreeCapacitySnapshot()
         self._due_times = DueTimes()
         #: Workers reserved in the last pass, and why each job waits.
         self._reserved: frozenset[WorkerId] = frozenset()
@@ -106,7 +108,9 @@
             tracked for tracked in candidates if now < tracked.quarantined_until
         ]
         self._headroom.record_usage(accepting, now)
-        with_more_free = self._free_capacity.with_more_free(accepting)
+        with_more_free = self._free_capacity.with_more_free(
+            accepting
+        ) + self._free_quarantined.with_more_free(quarantined)
         this_pass = PlacementPass(
             accepting,
             now,
@@ -114,6 +118,7 @@
             self._headroom,
             with_more_free,
             quarantined,
+            self._advice_requester.accepts_request,
         )
         ranked = [
             (waiting.rank(this_pass), waiting)
@@ -124,6 +129,7 @@
         for rank, waiting in ranked:
             self._process_step(rank, waiting, this_pass)
         self._free_capacity.update(accepting)
+        self._free_quarantined.update(quarantined)
         self._reserved = this_pass.workers.reserved
         self._record_waits(this_pass.reason_by_job, now)
 
@@ -140,7 +146,10 @@
         if waiting.has_slack(this_pass):
             allowed = _apply_headroom(step, allowed, this_pass)
         placed = 0
-        if allowed and not waiting.blocked(this_pass):
+        blocked = waiting.blocked(this_pass)
+        if allowed and blocked:
+            this_pass.reserve_workers(waiting, len(allowed))
+        elif allowed:
             placed = self._place_step(rank, waiting, allowed, this_pass)
             if not placed:
                 waiting.mark_blocked(this_pass)
@@ -176,7 +185,7 @@
             if not in_limit and self._state.ledger.needs_most_of_limit(step):
                 this_pass.tenants_saving_limit.add(tenant)
         if not in_limit:
-            step.limit_reached_at = this_pass.now
+            this_pass.workers.note_limit_reached(step)
         return in_limit
 
     def _defer_for_journal(self, now: Seconds) -> bool:
@@ -191,8 +200,9 @@
         reason_by_job: dict[JobId, WaitReason],
         now: Seconds,
     ) -> None:
+        no_longer_waiting = self._reason_by_job.keys() - reason_by_job.keys()
         self._reason_by_job = reason_by_job
-        for job_id in self._waiting_by_job:
+        for job_id in itertools.chain(reason_by_job, no_longer_waiting):
             job = self._state.job_by_id.get(job_id)
             if job is not None:
                 job.wait_times.record(reason_by_job.get(job_id), now)
@@ -269,7 +279,12 @@
                 self._launch_or_renew(rank, step, chosen, missing)
             else:
                 self._runs.launch(step, chosen)
-        if missing and advised and not step.permits.calls_in_flight:
+        if (
+            missing
+            and advised
+            and not step.permits.calls_in_flight
+            and self._advice_requester.accepts_request(rank, step)
+        ):
             unchecked = this_pass.workers.unchecked(step)
             self._advice_requester.request_candidates(
                 rank, step, missing, unchecked
