tools, soak: run the tests in parallel

make test runs pytest in eight processes at most (pytest-xdist, worksteal). The plugin for listed tests notes their failures from the reports, so that they are printed by the process that started the workers, once each, and it checks there whether all listed tests were collected.

Soak tests claim a loopback network each instead of using fixed ones, on which two runs at the same time collided. The regression seeds are a test each instead of one test in sequence, with the same checks.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 BREAK ?=
 SEEDS ?= 10
 JOBS ?= 2
+# Processes that run the tests: more than these don't make the run shorter, as
+# it can't be shorter than its longest test.
+TEST_JOBS ?= $(shell $(PYTHON) -c 'import os; print(min(8, os.cpu_count()))')
 
 .PHONY: demo test lint types check-format prove bench capacity schema soak
 
@@ -21,8 +24,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo $(if $(KEEP),--keep)
 
+# A worker that has run its share of the tests takes over some of another's.
 test: lint types
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(TEST_JOBS) --dist worksteal
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -4,8 +4,9 @@
 
 import pathlib
 
-from testtools import TestCase
+import pytest
 
+from soak.networks import claim_network
 from soak.run import Outcome, run_seed
 
 _SEEDS = pathlib.Path(__file__).parents[1] / 'seeds.txt'
@@ -13,8 +14,6 @@
 #: Seconds of faults in a regression run; the seed determines the order of the
 #: faults, but the timing depends on real processes.
 _REGRESSION_SECONDS = 20
-#: Loopback networks that the command line doesn't use.
-_SLOT, _OTHER_SLOT = 201, 202
 
 
 def _regression_seeds() -> list[int]:
@@ -26,19 +25,18 @@
     ]
 
 
-class SoakTest(TestCase):
-    def check(self, outcome: Outcome) -> None:
-        self.assertEqual([], outcome.violations)
-        self.assertGreater(outcome.accepted, 0)
-        self.assertGreater(sum(outcome.faults.values()), 0)
+def _check(outcome: Outcome) -> None:
+    assert outcome.violations == []
+    assert outcome.accepted > 0
+    assert sum(outcome.faults.values()) > 0
 
-    def test_short_run_has_no_violations(self) -> None:
-        self.check(run_seed(7, _SLOT, _SHORT_SECONDS))
 
-    def test_regression_seeds_have_no_violations(self) -> None:
-        for seed in _regression_seeds():
-            with self.subTest(seed=seed):
-                outcome = run_seed(
-                    seed, _OTHER_SLOT, _REGRESSION_SECONDS, crashing=False
-                )
-                self.check(outcome)
+def test_short_run_has_no_violations() -> None:
+    with claim_network() as slot:
+        _check(run_seed(7, slot, _SHORT_SECONDS))
+
+
+@pytest.mark.parametrize('seed', _regression_seeds())
+def test_regression_seed_has_no_violations(seed: int) -> None:
+    with claim_network() as slot:
+        _check(run_seed(seed, slot, _REGRESSION_SECONDS, crashing=False))
--- a/soak/tests/test_system.py
+++ b/soak/tests/test_system.py
@@ -10,14 +10,14 @@
 import sys
 import tempfile
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 
 from orchidrail.sockets import listen
 from orchidrail.testing import AsyncTestCase
+from soak.networks import claim_network
 from soak.run import Soak
 from soak.system import Instance
 
-_HOST = '127.203.1.1'
 _END_TIMEOUT = 5
 #: Starts an instance as the soak does, prints its process id and waits.
 _PARENT = """
@@ -26,7 +26,8 @@
 
 async def main():
     folder = pathlib.Path(sys.argv[1])
-    instance = Instance('a', 'z', '127.204.1.1', folder, ('127.204.1.1', 9001))
+    host = sys.argv[2]
+    instance = Instance('a', 'z', host, folder, (host, 9001))
     instance.write_settings()
     await instance.start()
     print(instance._process.pid, flush=True)
@@ -46,9 +47,16 @@
 
 
 class InstanceTest(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        claim = ExitStack()
+        self.addCleanup(claim.close)
+        self.slot = claim.enter_context(claim_network())
+        self.host = f'127.{self.slot}.1.1'
+
     def test_overlapping_faults_start_one_process(self) -> None:
         async def scenario(folder: pathlib.Path) -> None:
-            instance = Instance('a', 'z', _HOST, folder, (_HOST, 9001))
+            instance = Instance('a', 'z', self.host, folder, (self.host, 9001))
             async with AsyncExitStack() as stack:
                 await instance.open(stack)
                 await instance.kill()
@@ -72,7 +80,7 @@
     def test_process_ends_when_its_soak_is_killed(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             parent = subprocess.Popen(
-                [sys.executable, '-c', _PARENT, folder],
+                [sys.executable, '-c', _PARENT, folder, self.host],
                 stdout=subprocess.PIPE,
                 cwd=pathlib.Path(__file__).parents[2],
             )
@@ -89,13 +97,14 @@
 
     def test_rejects_a_network_in_use(self) -> None:
         async def scenario(folder: pathlib.Path) -> None:
-            soak = Soak(1, 205, folder)
-            bound = listen('127.205.2.1:8167')
+            soak = Soak(1, self.slot, folder)
+            host = f'127.{self.slot}.2.1'
+            bound = listen(f'{host}:8167')
             bound.listen()
             try:
                 await soak.execute(1, 1)
             except RuntimeError as error:
-                self.assertIn('127.205.2.1', str(error))
+                self.assertIn(host, str(error))
             else:
                 self.fail('a network in use was accepted')
             finally:
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -3,23 +3,28 @@
 `KNOWN-RED.txt` at the root has one line for each: test, cause and issue,
 separated by ` | `. These tests run and their failures are printed. A listed
 test that passes or does not exist is an error, and so is a list that is too
-long.
+long. With `pytest-xdist`, workers run the tests, and the process that started
+them prints the failures.
 """
 
 from __future__ import annotations
 
 import pathlib
-from collections.abc import Generator
-from typing import NamedTuple
+from collections.abc import Generator, Sequence
+from typing import TYPE_CHECKING, NamedTuple
 
 import pytest
 
+if TYPE_CHECKING:
+    from xdist.workermanage import WorkerController
+
 LIST_NAME = 'KNOWN-RED.txt'
 #: Bound on the number of listed tests, by the project's rules.
 MAX_LISTED = 3
 _SEPARATOR = ' | '
 _FIELDS = 3
 _PLUGIN = 'known-red'
+_XFAIL_REASON = f'listed in {LIST_NAME}'
 
 
 class KnownRed(NamedTuple):
@@ -81,10 +86,29 @@
         self,
         config: pytest.Config,
         items: list[pytest.Item],
+    ) -> None:
+        """Check what was collected, unless this is a worker of xdist."""
+        if not hasattr(config, 'workerinput'):
+            self._check_collected(config, {item.nodeid for item in items})
+
+    @pytest.hookimpl(optionalhook=True)
+    def pytest_xdist_node_collection_finished(
+        self,
+        node: WorkerController,
+        ids: Sequence[str],
+    ) -> None:
+        """Check what a worker collected.
+
+        An error in the worker itself would only show as its crash.
+        """
+        self._check_collected(node.config, set(ids))
+
+    def _check_collected(
+        self, config: pytest.Config, collected: set[str]
     ) -> None:
         """Fail if a whole-suite run does not collect a listed test."""
         parts = config.getoption('file_or_dir') or config.getoption('keyword')
-        missing = self._known_by_test.keys() - {item.nodeid for item in items}
+        missing = self._known_by_test.keys() - collected
         if missing and not parts:
             raise pytest.UsageError(
                 f'{LIST_NAME} lists tests that are not there: '
@@ -102,14 +126,18 @@
         if call.when != 'call' or item.nodeid not in self._known_by_test:
             return report
         if report.failed:
-            self._failed.add(item.nodeid)
             report.outcome = 'skipped'
-            report.wasxfail = f'listed in {LIST_NAME}'
+            report.wasxfail = _XFAIL_REASON
         else:
             report.outcome = 'failed'
             report.longrepr = f'passes, but {LIST_NAME} lists it: take it off'
         return report
 
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        """Note a listed test that failed, in whichever process it ran."""
+        if getattr(report, 'wasxfail', '') == _XFAIL_REASON:
+            self._failed.add(report.nodeid)
+
     def pytest_terminal_summary(
         self,
         terminalreporter: pytest.TerminalReporter,
--- a/tools/tests/test_known_red.py
+++ b/tools/tests/test_known_red.py
@@ -38,6 +38,10 @@
 
 
 class RunTest(TestCase):
+    """The tests run in the process that pytest was started in."""
+
+    options: tuple[str, ...] = ()
+
     def setUp(self) -> None:
         super().setUp()
         folder = tempfile.TemporaryDirectory()
@@ -48,8 +52,9 @@
 
     def run_tests(self, listed: str) -> subprocess.CompletedProcess[str]:
         (self.folder / 'KNOWN-RED.txt').write_text(listed)
+        pytest = [sys.executable, '-m', 'pytest', '-q', '-p', 'tools.known_red']
         return subprocess.run(
-            [sys.executable, '-m', 'pytest', '-q', '-p', 'tools.known_red'],
+            [*pytest, *self.options],
             cwd=self.folder,
             env={**os.environ, 'PYTHONPATH': str(_ROOT)},
             capture_output=True,
@@ -89,3 +94,17 @@
         )
         self.assertNotEqual(0, completed.returncode)
         self.assertIn('test_gone', completed.stdout + completed.stderr)
+
+
+class ParallelRunTest(RunTest):
+    """The tests run in workers of `pytest-xdist`."""
+
+    options = '-n', '2', '--dist', 'worksteal'
+
+    def test_each_failure_is_printed_once(self) -> None:
+        completed = self.run_tests(
+            'test_some.py::test_bad | broken | issue 1\n'
+            'test_some.py::test_worse | the same | issue 1\n'
+        )
+        self.assertEqual(2, completed.stdout.count('known red'))
+        self.assertIn('1 passed, 2 xfailed', completed.stdout)
