shard: a rejected start does not restart the wait of its task

Cause: Job.place clears the time since when a task waits, and the end of a run that was never started left it cleared, so the next pass measured the wait anew. Workers that reject starts in turn kept the task from becoming overdue. A placed run now keeps that time, and a start that did not come about restores it; not after an invalid order, which would be rejected elsewhere too. Ruled out: keeping it after runs that failed, since a task that fails repeatedly would then always go first.

--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -227,3 +227,13 @@
         self._state.job_by_id.pop(job.job_id, None)
         self._stop_job(job)
         return commit
+
+
+def resume_wait(task: Task, run: PlacedRun) -> None:
+    """Let a task wait since before the placement of a run that never began.
+
+    Otherwise workers that reject its starts in turn would keep it from ever
+    becoming overdue.
+    """
+    if task.phase is TaskPhase.WAITING and task.run == run.key.run:
+        task.waiting_since = run.waited_since
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -15,7 +15,7 @@
 from orchidrail.shard.crash_attribution import CrashAttributor
 from orchidrail.shard.crash_evidence import IncarnationEnd
 from orchidrail.shard.inherited_runs import InheritedRuns
-from orchidrail.shard.run_ends import RunEnds
+from orchidrail.shard.run_ends import RunEnds, resume_wait
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import (
     STARTUP_CRASH_WINDOW,
@@ -297,6 +297,7 @@
         step = task.step
         run = gang_run if step.spec.gang else step.next_run([task])
         key = RunKey(task.key, run)
+        waited_since = task.waiting_since
         step.job.place(task, run, tracked.worker)
         now = self._state.clock()
         placed = PlacedRun(
@@ -305,6 +306,7 @@
             task,
             now,
             isolated=task.suspected,
+            waited_since=waited_since,
         )
         tracked.allocate(placed, step.key)
         return placed
@@ -381,6 +383,10 @@
         if result is OrderResult.NO_TICKET:
             run.task.step.permits.drop_ticket(tracked.worker)
         self._ends.presume_ended(tracked, run)
+        # An invalid order is no fault of the worker: it would be rejected again
+        # elsewhere, so its task goes behind the others.
+        if result is not OrderResult.INVALID:
+            resume_wait(run.task, run)
         self._ends.save_changed()
 
     async def _stop(self, tracked: TrackedWorker, run: PlacedRun) -> None:
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -102,6 +102,8 @@
     ordered: bool = False
     #: Whether the task is suspected and retried in isolation.
     isolated: bool = False
+    #: Since when the task had waited when the run was placed; None if unknown.
+    waited_since: Seconds | None = None
     share_done: float = 0
     #: When `share_done` last changed; 0 before the first listing shows the run.
     progress_at: Seconds = 0
