shard: work does not wait in vain for a gang of its tenant

Cause: a gang that needs most of its tenant's limit kept all other work of the tenant waiting, also while the tenant's urgent work alone used so much that the gang did not fit whatever else waited. Waiting then freed nothing, and had no bound. Now it is bounded by 1 s while the gang would not fit beside urgent and long-running work; where it would, all is as before. Ruled out: no wait at all in that case, since a gap between urgent tasks would then find the limit filled by others.

--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from operator import itemgetter
 
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher
@@ -34,6 +35,10 @@
 #: start waits for the journal, and tickets expire meanwhile. The journal
 #: usually confirms within 8 ms, within 0.3 s when it is slow.
 _JOURNAL_TIMEOUT: Seconds = 0.7
+#: Maximum time for which work waits for a gang of its tenant that would not fit
+#: the limit even so. It leaves 2 s of the 3 s for which work that could run may
+#: make no progress to other causes.
+_MAX_SAVING_IN_VAIN: Seconds = 1.0
 
 
 class Placer:
@@ -161,7 +166,9 @@
 
         Work that is not urgent does not go ahead of a gang of the same tenant
         that needs most of the limit: otherwise that much of the limit would
-        never be free at once.
+        never be free at once. It does once it has waited for a while without
+        use: while the tenant's urgent work uses too much, the gang doesn't fit
+        whatever else waits.
         """
         step = waiting.step
         tenant = step.job.tenant.name
@@ -173,12 +180,23 @@
         in_limit: list[Task] = []
         if tenant not in this_pass.tenants_saving_limit or step.job.urgent:
             in_limit = self._state.ledger.within_limit(step, tasks)
-            if not in_limit and self._state.ledger.needs_most_of_limit(step):
+            if not in_limit and self._saves_limit(step, this_pass.now):
                 this_pass.tenants_saving_limit.add(tenant)
         if not in_limit:
             step.limit_reached_at = this_pass.now
         return in_limit
 
+    def _saves_limit(self, step: StepState, now: Seconds) -> bool:
+        """Whether other work of its tenant waits for a step above the limit."""
+        ledger = self._state.ledger
+        if not ledger.needs_most_of_limit(step):
+            return False
+        if ledger.fits_once_others_end(step):
+            step.over_limit_since = math.inf
+            return True
+        step.over_limit_since = min(step.over_limit_since, now)
+        return now - step.over_limit_since < _MAX_SAVING_IN_VAIN
+
     def _defer_for_journal(self, now: Seconds) -> bool:
         if self._state.writer.time_since_confirmed() < _JOURNAL_TIMEOUT:
             return False
--- a/orchidrail/shard/tenant_ledger.py
+++ b/orchidrail/shard/tenant_ledger.py
@@ -84,6 +84,8 @@
         self._clock = clock
         self._urgent_by_tenant: defaultdict[TenantId, Size] = defaultdict(Size)
         self._lasting_by_tenant: defaultdict[TenantId, Size] = defaultdict(Size)
+        #: Usage that a tenant's waiting gang does not keep from coming back.
+        self._kept_by_tenant: defaultdict[TenantId, Size] = defaultdict(Size)
         self._peak_by_tenant: defaultdict[TenantId, _Peaks] = defaultdict(
             _Peaks
         )
@@ -100,6 +102,8 @@
         if not name:
             return
         self.used_by_tenant[name] = self.used(name) + usage.size
+        if usage.urgent or usage.lasting:
+            self._kept_by_tenant[name] += usage.size
         if usage.lasting:
             self._lasting_by_tenant[name] += usage.size
         if usage.urgent:
@@ -112,6 +116,8 @@
         if not usage.tenant:
             return
         remaining = self.used(usage.tenant) - usage.size
+        if usage.urgent or usage.lasting:
+            self._kept_by_tenant[usage.tenant] -= usage.size
         if usage.urgent:
             self._urgent_by_tenant[usage.tenant] -= usage.size
         if usage.lasting:
@@ -166,6 +172,19 @@
         fits = tenant.count_within_limit(lasting, at_once) > 0
         return fits and not tenant.ever_fits(at_once + at_once)
 
+    def fits_once_others_end(self, step: StepState) -> bool:
+        """Whether a step fits once all work ends that can be kept waiting.
+
+        What its tenant's urgent and long-running tasks use does not become
+        free by keeping other work waiting, nor does the reserve for urgent
+        work.
+        """
+        tenant = self.current(step.job.tenant)
+        kept = self._kept_by_tenant[tenant.name]
+        kept += self._reserved_from(tenant, step)
+        at_once = concurrent_size(step.spec)
+        return tenant.count_within_limit(kept, at_once) > 0
+
     def _reserved_from(self, tenant: Tenant, step: StepState) -> Size:
         """Return the size reserved from a step, none if it would never fit."""
         reserved = self._reserved_for_urgent(tenant)
--- a/orchidrail/shard/tests/test_tenant_ledger.py
+++ b/orchidrail/shard/tests/test_tenant_ledger.py
@@ -64,3 +64,16 @@
         self.maximum = Size(60, 0)
         self.assertEqual(0, self.allowed(gang))
         self.assertFalse(self.ledger.needs_most_of_limit(gang))
+
+    def test_gang_fits_once_work_that_can_wait_has_ended(self) -> None:
+        """Guards against work that waits in vain for a gang to fit."""
+        gang = _step(StepSpec(8, Size(10), gang=True))
+        urgent = QuotaUsage(_NAME, Size(20, 0), urgent=True)
+        lasting = QuotaUsage(_NAME, Size(10, 0), lasting=True)
+        self.ledger.add_usage(QuotaUsage(_NAME, Size(70, 0)))
+        self.ledger.add_usage(urgent)
+        self.assertTrue(self.ledger.fits_once_others_end(gang))
+        self.ledger.add_usage(lasting)
+        self.assertFalse(self.ledger.fits_once_others_end(gang))
+        self.ledger.remove_usage(lasting)
+        self.assertTrue(self.ledger.fits_once_others_end(gang))
--- a/orchidrail/work/step.py
+++ b/orchidrail/work/step.py
@@ -127,6 +127,9 @@
         #: When the limit of its tenant last prevented a task from starting, on
         #: the monotonic clock of the owner.
         self.limit_reached_at: Seconds = -math.inf
+        #: Since when it would not fit the limit of its tenant even if other
+        #: work that can be kept waiting had ended; infinite if it would.
+        self.over_limit_since: Seconds = math.inf
         #: Workers on which its tasks failed; other workers are preferred.
         self.failed_workers = FailedWorkers()
 
