shard: closed workers count as capacity of their service

Cause: whether half of a service is free was judged by the workers that accept work and the quarantined ones. Idle workers that accept none, such as draining or stalled ones, were left out, so a step was deferred while most of its service was idle. The owner now passes these on; left out are workers without an entry, ended ones, and those with a run of unknown size.

--- a/orchidrail/shard/candidate_workers.py
+++ b/orchidrail/shard/candidate_workers.py
@@ -56,6 +56,9 @@
         On the owner's monotonic clock, seconds.
     quarantined : list of TrackedWorker
         Quarantined workers, for overdue steps without another choice.
+    closed : list of TrackedWorker
+        Other workers in service: they accept no work now, but their free
+        capacity shows how much of their service is in use.
     """
 
     def __init__(
@@ -63,10 +66,12 @@
         accepting: list[TrackedWorker],
         now: Seconds = 0,
         quarantined: list[TrackedWorker] | None = None,
+        closed: list[TrackedWorker] | None = None,
     ) -> None:
         """Sort the workers by their free processor time."""
         self._now = now
         self._quarantined = quarantined or []
+        self._closed = closed or []
         self._tracked_by_worker = {
             tracked.worker: tracked for tracked in accepting
         }
@@ -343,12 +348,12 @@
         """Whether less than half of each resource of a service is in use."""
         found = self._half_free_by_service.get(service)
         if found is None:
-            quarantined = [
+            others = [
                 tracked
-                for tracked in self._quarantined
+                for tracked in self._quarantined + self._closed
                 if tracked.entry.service == service
             ]
-            found = _is_half_free(self.of_service(service) + quarantined)
+            found = _is_half_free(self.of_service(service) + others)
             self._half_free_by_service[service] = found
         return found
 
--- a/orchidrail/shard/placement_pass.py
+++ b/orchidrail/shard/placement_pass.py
@@ -203,12 +203,13 @@
         headroom: Headroom,
         with_more_free: list[TrackedWorker],
         quarantined: list[TrackedWorker],
+        closed: list[TrackedWorker] | None = None,
     ) -> None:
-        """Start with all workers that accept work, and quarantined ones."""
+        """Start with all workers in service; see `CandidateWorkers`."""
         self.with_more_free = with_more_free
         self.now = now
         self.wall = wall
-        self.workers = CandidateWorkers(accepting, now, quarantined)
+        self.workers = CandidateWorkers(accepting, now, quarantined, closed)
         self.reason_by_job: dict[JobId, WaitReason] = {}
         self._headroom = headroom
         self._available_by_label: dict[tuple[ServiceName, str], int] = {}
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -110,6 +110,11 @@
         quarantined = [
             tracked for tracked in candidates if now < tracked.quarantined_until
         ]
+        closed = [
+            tracked
+            for tracked in self._state.tracked_by_worker.values()
+            if not tracked.available and tracked.in_service
+        ]
         self._headroom.record_usage(accepting, now)
         with_more_free = self._free_capacity.with_more_free(accepting)
         this_pass = PlacementPass(
@@ -119,6 +124,7 @@
             self._headroom,
             with_more_free,
             quarantined,
+            closed,
         )
         ranked = [
             (waiting.rank(this_pass), waiting)
--- a/orchidrail/shard/tests/test_placer_wait_bounds.py
+++ b/orchidrail/shard/tests/test_placer_wait_bounds.py
@@ -12,7 +12,9 @@
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher
+from orchidrail.shard.placement_pass import PlacementPass, WaitingStep
 from orchidrail.shard.placer import Placer
+from orchidrail.shard.ranking import Rank
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import TrackedWorker
@@ -33,7 +35,7 @@
 from orchidrail.work.size import Size
 from orchidrail.work.tenant import ANONYMOUS_TENANT, Tenant
 from orchidrail.work.tests.test_job import make_job
-from orchidrail.workers.port import Advice, OrderResult
+from orchidrail.workers.port import Advice, OrderResult, WorkerState
 from orchidrail.workers.run_lease import RunLease
 from orchidrail.workers.session import WorkerSession
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
@@ -260,6 +262,42 @@
 
         self.run_scenario(scenario)
 
+    def test_idle_closed_workers_are_not_in_use(self) -> None:
+        """Guards against an owner that knows of open workers only.
+
+        The open worker is in use, and two idle ones are draining.
+        """
+
+        async def scenario(shard: _Scenario) -> None:
+            first = await shard.add_worker('w-1', FakeWorker())
+            await shard.add('a', StepSpec(1, first.entry.capacity))
+            closed = await shard.add_worker('w-2', FakeWorker())
+            second = await shard.add_worker('w-3', FakeWorker())
+            for tracked in (closed, second):
+                tracked.entry = msgspec.structs.replace(
+                    tracked.entry, state=WorkerState.DRAINING
+                )
+            job = await shard.add('b', StepSpec(1, Size(1000, 1)))
+            self.assertEqual([0], _waiting_tasks(job))
+            passes: list[PlacementPass] = []
+            process = shard.placer._process_step
+
+            def note_pass(
+                rank: Rank, waiting: WaitingStep, this_pass: PlacementPass
+            ) -> None:
+                passes.append(this_pass)
+                process(rank, waiting, this_pass)
+
+            self.patch(shard.placer, '_process_step', note_pass)
+            shard.elapsed = _LONG_WAIT
+            await shard.run_pass(job)
+            self.assertTrue(passes[-1].workers.overdue(job.steps(0)[0]))
+            second.listed = False
+            await shard.run_pass(job)
+            self.assertFalse(passes[-1].workers.overdue(job.steps(0)[0]))
+
+        self.run_scenario(scenario)
+
     def test_renewals_do_not_block_requests_of_overdue_steps(self) -> None:
         """Guards against a queue that renewals fill without a bound."""
 
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -250,6 +250,14 @@
             return False
         return self.entry.state is WorkerState.READY
 
+    @property
+    def in_service(self) -> bool:
+        """Whether its capacity is part of its service's, open or closed."""
+        if self._unsized_runs:
+            # How much of it is in use is unknown.
+            return False
+        return self.listed and not self.session.terminated
+
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Apply a new entry of the worker; its capacity may have changed.
 
