shard: withdraw a job whose time ends while an append is in flight

Cause: a submission was withdrawn only at the instant at which its caller's time ended. If an append was in flight just then it can't be withdrawn, and it stayed waiting for as long as the store rejected appends, with no answer. The withdrawal is now tried again until the outcome is known.

The new test failed before.

--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -59,6 +59,9 @@
 _DEFAULT_TIMEOUT: Seconds = 0.7
 #: Part of the time budget that is left for the reply to reach the caller.
 _REPLY_MARGIN: Seconds = 0.1
+#: How often a withdrawal is tried again: between two attempts to append, the
+#: writer pauses for longer.
+_WITHDRAWAL_INTERVAL: Seconds = 0.03
 #: Bytes that may be queued while the journal does not respond; beyond it jobs
 #: are rejected at once. This is the size of one append.
 _MAX_UNWRITTEN_BYTES = 1_000_000
@@ -236,9 +239,14 @@
         waiting = asyncio.ensure_future(commit.wait())
         wait_time = max(0, time_budget - _REPLY_MARGIN)
         done, _ = await asyncio.wait((waiting,), timeout=wait_time)
-        if not done and self._withdraw(job, commit):
-            waiting.cancel()
-            return False
+        # An append in flight can't be withdrawn, but the store may reject it.
+        while not done:
+            if self._withdraw(job, commit):
+                waiting.cancel()
+                return False
+            done, _ = await asyncio.wait(
+                (waiting,), timeout=_WITHDRAWAL_INTERVAL
+            )
         if await waiting:
             return True
         return None if commit.may_be_written else False
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -12,10 +12,10 @@
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
-from orchidrail.store import Topic
+from orchidrail.store import NotAppended, Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.testing import AsyncTestCase
-from orchidrail.types import Address, Epoch, InstanceId, JobId
+from orchidrail.types import Address, Epoch, InstanceId, JobId, Seconds
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
 from orchidrail.work.records import JobPhase
 from orchidrail.work.tests.test_job import make_job
@@ -26,6 +26,8 @@
 _JOB = JobId('0123456789abcdef')
 _QUEUE = make_job(StepSpec(1)).queue
 _SPEC = JobSpec('text', (StepSpec(1),))
+#: Longer than the part of a submission's time that is left for the reply.
+_SLOW_REJECTION: Seconds = 0.5
 
 
 async def _no_advice(*_: object) -> Advice:
@@ -189,6 +191,29 @@
 
         self.run_scenario(scenario)
 
+    def test_job_is_withdrawn_once_an_append_in_flight_is_rejected(
+        self,
+    ) -> None:
+        """Guards against a wait without bound.
+
+        The caller's time is over while an append is in flight, so that the job
+        can't be withdrawn just then. The store rejects each append late.
+        """
+
+        async def scenario(owner: ShardOwner) -> None:
+            rejected = NotAppended('down')
+
+            async def reject_late(*_: object) -> NotAppended:
+                await asyncio.sleep(_SLOW_REJECTION)
+                return rejected
+
+            self.patch(self.store, 'append', reject_late)
+            submitting = owner.submit(_JOB, _QUEUE, _SPEC, _SLOW_REJECTION)
+            self.assertIs(False, await asyncio.wait_for(submitting, 10))
+            self.assertIsNone(owner.phase(_JOB))
+
+        self.run_scenario(scenario)
+
     def test_next_owner_restores_accepted_jobs(self) -> None:
         async def scenario(owner: ShardOwner) -> None:
             await owner.submit(_JOB, _QUEUE, _SPEC)
