--- a/orchidrail/shard/placement_pass.py
+++ b/orchidrail/shard/placement_pass.py
@@ -251,15 +251,16 @@
         headroom: Headroom,
         with_more_free: list[TrackedWorker],
         quarantined: list[TrackedWorker],
+        closed: list[TrackedWorker] | None = None,
         accepts_request: Callable[[Rank, StepState], bool] = _accept_request,
     ) -> None:
-        """Start with all workers that accept work, and quarantined ones."""
+        """Start with all workers in service; see `CandidateWorkers`."""
         self.with_more_free = with_more_free
         #: Whether another advice request of a step would be sent.
         self.accepts_request = accepts_request
         self.now = now
         self.wall = wall
-        self.workers = CandidateWorkers(accepting, now, quarantined)
+        self.workers = CandidateWorkers(accepting, now, quarantined, closed)
         self.reason_by_job: dict[JobId, WaitReason] = {}
         self._headroom = headroom
         self._available_by_label: dict[tuple[ServiceName, str], int] = {}
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -102,6 +102,8 @@
     ordered: bool = False
     #: Whether the task is suspected and retried in isolation.
     isolated: bool = False
+    #: Since when the task had waited when the run was placed; None if unknown.
+    waited_since: Seconds | None = None
     share_done: float = 0
     #: When `share_done` last changed; 0 before the first listing shows the run.
     progress_at: Seconds = 0
@@ -248,6 +250,14 @@
             return False
         return self.entry.state is WorkerState.READY
 
+    @property
+    def in_service(self) -> bool:
+        """Whether its capacity is part of its service's, open or closed."""
+        if self._unsized_runs:
+            # How much of it is in use is unknown.
+            return False
+        return self.listed and not self.session.terminated
+
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Apply a new entry of the worker; its capacity may have changed.
 
