--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -144,18 +144,26 @@
             await writer.put('x', b'1').wait()
             self.store.fault = StoreFault.REFUSES
             first = writer.put('x', b'2')
-            await asyncio.sleep(0.05)
+            # Not for a fixed time: if this process is paused meanwhile, the
+            # writer starts its batch only after the next values are put.
+            while not writer.last_error:
+                await asyncio.sleep(0.001)
             writer.put('x', b'3')
             later = writer.put('y', b'4')
             self.store.fault = None
+            # Both batches may be written before this task goes on: the store
+            # tells their order.
+            appends = self.store.appends
             await first.wait()
-            batches = self.store.appends
-            view = self._view()
-            await view.catch_up()
-            self.assertEqual(b'2', view.value_by_key['x'])
             await later.wait()
+            records = self.store.records_by_topic[_TOPIC]
+            self.assertEqual(
+                [('x', b'1'), ('x', b'2'), ('x', b'3'), ('y', b'4')],
+                [one for one in records if one.key in {'x', 'y'}],
+            )
+            self.assertEqual(appends + 2, self.store.appends)
+            view = self._view()
             await view.catch_up()
-            self.assertEqual(batches + 1, self.store.appends)
             self.assertEqual(b'3', view.value_by_key['x'])
             self.assertEqual(b'4', view.value_by_key['y'])
             writing.cancel()
@@ -247,6 +255,29 @@
 
         self._run(read())
 
+    def test_replaced_values_do_not_count_as_waiting(self) -> None:
+        async def replace() -> None:
+            writer = await self._take_over('a', 0)
+            for _ in range(10):
+                writer.put('x', b'123')
+            writer.put_lazily('y', lambda: b'12345')
+            self.assertEqual(8, writer.waiting_bytes)
+
+        self._run(replace())
+
+    def test_a_value_put_lazily_is_written_as_it_is_when_sent(self) -> None:
+        async def change() -> None:
+            writer = await self._take_over('a', 0)
+            current = [b'1']
+            commit = writer.put_lazily('x', lambda: current[-1])
+            current.append(b'2')
+            writing = asyncio.create_task(writer.run())
+            self.assertTrue(await commit.wait())
+            self.assertEqual(b'2', writer.view.value_by_key['x'])
+            writing.cancel()
+
+        self._run(change())
+
     def test_the_journal_names_its_owner(self) -> None:
         async def name() -> None:
             await self._take_over('a', 0)
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -19,6 +19,7 @@
     AppendStatus,
     append_once,
 )
+from orchidrail.journal.queued_values import EncodeValue, QueuedValues
 from orchidrail.store import (
     KeyedRecord,
     Unavailable,
@@ -123,8 +124,7 @@
         #: Why the last attempt failed, empty while appends succeed.
         self.last_error = ''
         self._clock = clock
-        self._value_by_key: dict[str, bytes] = {}
-        self._bytes = 0
+        self._queued = QueuedValues()
         self._commit = Commit()
         #: The batch before the one being filled.
         self._in_flight = Commit()
@@ -135,8 +135,18 @@
 
     def put(self, key: str, value: bytes) -> Commit:
         """Queue a value for the next append; an empty one removes the key."""
-        self._value_by_key[key] = value
-        self._bytes += len(value)
+        self._queued.put(key, value)
+        return self._queue()
+
+    def put_lazily(self, key: str, encode_value: EncodeValue) -> Commit:
+        """Queue a value that is encoded when its append is sent.
+
+        However often it is put before, it is then encoded once, as it is then.
+        """
+        self._queued.put_lazily(key, encode_value)
+        return self._queue()
+
+    def _queue(self) -> Commit:
         self._work_available.set()
         if self.fenced.is_set():
             self._commit.decide(committed=False)
@@ -148,9 +158,7 @@
         A value can be withdrawn from the batch being filled, and from an append
         that the store has rejected so far.
         """
-        value = self._value_by_key.pop(key, None)
-        if value is not None:
-            self._bytes -= len(value)
+        if self._queued.remove(key):
             return True
         remaining = [record for record in self._rejected if record.key != key]
         withdrawn = len(remaining) < len(self._rejected)
@@ -160,7 +168,7 @@
     @property
     def waiting_bytes(self) -> int:
         """Total size of the values queued for the next append, in bytes."""
-        return self._bytes
+        return self._queued.size
 
     def time_since_confirmed(self) -> Seconds:
         """Return the seconds since ownership was last confirmed."""
@@ -188,7 +196,7 @@
 
     async def flush(self) -> bool:
         """Wait for all values put so far; return whether they are written."""
-        if self._value_by_key:
+        if self._queued:
             return await self._commit.wait()
         return await self._in_flight.wait()
 
@@ -198,16 +206,12 @@
                 self._work_available.wait(), CONFIRM_INTERVAL
             )
         except (TimeoutError, asyncio.TimeoutError):
-            self._value_by_key.setdefault(OWNER_KEY, encode(self.owner))
+            self._queued.put(OWNER_KEY, encode(self.owner))
 
     async def _write_batch(self) -> None:
-        records = [
-            KeyedRecord(key, value) for key, value in self._value_by_key.items()
-        ]
+        records = self._queued.take()
         commit = self._commit
         self._in_flight = commit
-        self._value_by_key = {}
-        self._bytes = 0
         self._commit = Commit()
         self._work_available.clear()
         for chunk in _chunks(records):
--- a/orchidrail/shard/inherited_runs.py
+++ b/orchidrail/shard/inherited_runs.py
@@ -57,6 +57,8 @@
             left=lingering,
         )
         tracked.allocate(run, active.key.task.rpartition('.')[0])
+        if task is not None:
+            task.step.job.workers.add(tracked.worker)
         if task is not None and _missing_from_journal(
             task, active.key.run, tracked
         ):
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -44,7 +44,6 @@
     EndedRecord,
     JobPhase,
     JobRecord,
-    TaskPhase,
     encode,
     job_key,
     progress_key,
@@ -377,13 +376,9 @@
             job.accepted = True
             self.state.job_by_id[stored.job_id] = job
             self.state.mark_changed(job)
-            for row in stored.progress.rows:
-                task = job.find_task(row.round_number, row.step, row.index)
-                if task is not None and task.phase is TaskPhase.PLACED:
-                    self.state.unresolved_runs.add(
-                        task.worker,
-                        [(task, task.run)],
-                    )
+            for task in job.placed_tasks():
+                self.state.unresolved_runs.add(task.worker, [(task, task.run)])
+        self.state.remove_orphaned_progress()
         _log.info(
             'jobs restored',
             jobs=len(self.state.job_by_id),
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -30,9 +30,10 @@
     FENCE_KEY,
     EndedRecord,
     LingeringRun,
-    Progress,
     encode,
+    encode_progress,
     job_key,
+    orphaned_progress,
     progress_key,
     worker_key,
 )
@@ -142,6 +143,12 @@
             return True
         return await self._fence_commit.wait()
 
+    def remove_orphaned_progress(self) -> None:
+        """Remove progress that a failed owner left of jobs that are over."""
+        value_by_key = self.writer.view.value_by_key
+        for key in orphaned_progress(value_by_key, self.job_by_id):
+            self.writer.put(key, b'')
+
     def delete_worker(self, tracked: TrackedWorker) -> None:
         """Delete a worker from the journal: its incarnation has ended."""
         self.writer.put(worker_key(tracked.entry.name), b'')
@@ -164,8 +171,10 @@
     def save(self, job: Job) -> Commit:
         """Write the progress of a job, or its end, to the journal."""
         if not job.ended:
-            rows = Progress(job.rows())
-            return self.writer.put(progress_key(job.job_id), encode(rows))
+            return self.writer.put_lazily(
+                progress_key(job.job_id),
+                lambda: encode_progress(job.short_rows()),
+            )
         record = EndedRecord(
             job.phase,
             self.wall_clock(),
@@ -174,5 +183,8 @@
             job.tenant,
             _lingering_runs(job),
         )
+        commit = self.writer.put(job_key(job.job_id), encode(record))
+        # Removed after that: both may be written by different appends, and
+        # without progress an open job would run its tasks again.
         self.writer.put(progress_key(job.job_id), b'')
-        return self.writer.put(job_key(job.job_id), encode(record))
+        return commit
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -14,6 +14,7 @@
 from orchidrail.work.model import JobSpec, QueueSettings
 from orchidrail.work.records import (
     ENDED_PHASES,
+    DoneRow,
     FailureCause,
     JobPhase,
     JobRecord,
@@ -235,8 +236,11 @@
 
     def rows(self) -> list[TaskRow]:
         """Return the records of the tasks that have been placed before."""
-        steps = itertools.chain.from_iterable(self._steps_by_round.values())
-        return [task.row() for step in steps for task in step.tasks if task.run]
+        return [task.row() for task in self._started_tasks()]
+
+    def short_rows(self) -> list[TaskRow | DoneRow]:
+        """Return the fields of these records that the next owner needs."""
+        return [task.short_row() for task in self._started_tasks()]
 
     def restore(self, progress: Progress) -> None:
         """Restore the progress that is recorded in the journal."""
@@ -244,11 +248,16 @@
             task = self.find_task(row.round_number, row.step, row.index)
             if task is not None:
                 task.restore(row)
-                self.workers.add(task.worker)
+                if task.worker:
+                    self.workers.add(task.worker)
                 self.started = True
         if progress.rows:
             self.phase = JobPhase.RUNNING
 
+    def _started_tasks(self) -> list[Task]:
+        steps = itertools.chain.from_iterable(self._steps_by_round.values())
+        return [task for step in steps for task in step.tasks if task.run]
+
     def _succeed(self, task: Task) -> None:
         members = task.step.tasks if task.step.spec.gang else (task,)
         for member in members:
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Sequence
 from enum import Enum, IntEnum
 from typing import NamedTuple
 
@@ -140,6 +141,16 @@
     born: int | None = None
 
 
+class DoneRow(msgspec.Struct, array_like=True):
+    """A task that is done; it is read as a `TaskRow` with defaults."""
+
+    round_number: int
+    step: int
+    index: int
+    phase: TaskPhase
+    run: RunNumber
+
+
 class Progress(msgspec.Struct, array_like=True):
     """Progress of a job: its tasks that have been placed at least once."""
 
@@ -163,6 +174,11 @@
 decode_spec = msgspec.msgpack.Decoder(JobSpec).decode
 
 
+def encode_progress(rows: Sequence[TaskRow | DoneRow]) -> bytes:
+    """Encode the progress of a job, to be decoded as `Progress`."""
+    return encode((rows,))
+
+
 def job_key(job_id: JobId) -> str:
     """Return the journal key of a job.
 
@@ -193,6 +209,23 @@
     ]
 
 
+def orphaned_progress(
+    value_by_key: dict[str, bytes],
+    open_jobs: Collection[JobId],
+) -> list[str]:
+    """Return the keys of progress whose job is not open.
+
+    It is left if an owner fails after it has written the end of a job and
+    before it has removed the job's progress. A later job of the same id must
+    not start with it.
+    """
+    return [
+        key
+        for key in value_by_key
+        if key.startswith(_PROGRESS_PREFIX) and JobId(key[1:]) not in open_jobs
+    ]
+
+
 def read_jobs(value_by_key: dict[str, bytes]) -> list[StoredJob]:
     """Decode all jobs of a journal."""
     return [
--- a/orchidrail/work/step.py
+++ b/orchidrail/work/step.py
@@ -9,7 +9,7 @@
 from orchidrail.work.failed_workers import FailedWorkers
 from orchidrail.work.model import StepSpec
 from orchidrail.work.permits import Permits
-from orchidrail.work.records import TaskPhase, TaskRow
+from orchidrail.work.records import DoneRow, TaskPhase, TaskRow
 from orchidrail.workers.incarnations import incarnation_id, split_incarnation_id
 
 if TYPE_CHECKING:
@@ -83,6 +83,24 @@
             born,
         )
 
+    def short_row(self) -> TaskRow | DoneRow:
+        """Return the fields of the record that the next owner needs.
+
+        A task that is done has no run left on its worker. Members of a gang
+        may have: they are done together with the first of them.
+        """
+        if self.phase is not TaskPhase.DONE or self.step.spec.gang:
+            return self.row()
+        if self.failures or self.crashes or self.suspicion:
+            return self.row()
+        return DoneRow(
+            self.step.round_number,
+            self.step.number,
+            self.index,
+            self.phase,
+            self.run,
+        )
+
     def restore(self, row: TaskRow) -> None:
         """Restore the state recorded in the journal."""
         self.phase = TaskPhase(row.phase)
--- a/orchidrail/work/tests/test_records.py
+++ b/orchidrail/work/tests/test_records.py
@@ -9,10 +9,16 @@
 from testtools import TestCase
 
 from orchidrail.types import RunNumber, WorkerId
+from orchidrail.work.job import Job
 from orchidrail.work.model import StepSpec
-from orchidrail.work.records import Progress, decode_progress, encode
+from orchidrail.work.records import (
+    TaskPhase,
+    decode_progress,
+    encode,
+    encode_progress,
+)
 from orchidrail.work.tests.test_job import make_job
-from orchidrail.workers.port import WorkerEntry
+from orchidrail.workers.port import RunEnding, WorkerEntry
 from orchidrail.workers.tests.fakes import make_entry
 
 _INCARNATION_ID = WorkerId('w-1@1712345678901')
@@ -45,7 +51,7 @@
         self.job = make_job(StepSpec(1))
         task = self.job.steps(0)[0].tasks[0]
         self.job.place(task, RunNumber(3), _INCARNATION_ID)
-        self.raw = encode(Progress(self.job.rows()))
+        self.raw = encode_progress(self.job.short_rows())
 
     def test_incarnation_of_a_run_is_restored(self) -> None:
         restored = make_job(StepSpec(1))
@@ -69,3 +75,53 @@
         fields.pop('born')
         entry = msgspec.msgpack.decode(encode(fields), type=WorkerEntry)
         self.assertEqual(('w-1', None), (entry.worker, entry.born))
+
+    def test_a_task_that_is_done_takes_few_bytes(self) -> None:
+        """Else the ends of a wide job fill appends over slow links."""
+        job = _job_with_ends(StepSpec(100))
+        done = [
+            row.phase is TaskPhase.DONE
+            for row in decode_progress(encode_progress(job.short_rows())).rows
+        ]
+        self.assertEqual((100, True), (len(done), all(done)))
+        self.assertLess(len(encode_progress(job.short_rows())), 100 * 8)
+
+    def test_older_version_reads_tasks_that_are_done(self) -> None:
+        raw = encode_progress(_job_with_ends(StepSpec(2)).short_rows())
+        rows = msgspec.msgpack.decode(raw, type=_OldProgress).rows
+        self.assertEqual(
+            [(0, TaskPhase.DONE, 1), (1, TaskPhase.DONE, 1)],
+            [(row.index, row.phase, row.run) for row in rows],
+        )
+        restored = make_job(StepSpec(2), StepSpec(1, after=(0,)))
+        restored.restore(decode_progress(raw))
+        self.assertTrue(restored.steps(0)[0].done)
+        self.assertEqual(set(), restored.workers)
+
+    def test_workers_of_a_gang_that_is_done_are_kept(self) -> None:
+        """Its other members may still run there when its job ends."""
+        raw = encode_progress(
+            _job_with_ends(StepSpec(2, gang=True)).short_rows()
+        )
+        restored = make_job(StepSpec(2, gang=True))
+        restored.restore(decode_progress(raw))
+        self.assertEqual({_INCARNATION_ID}, restored.workers)
+
+    def test_failures_of_a_task_that_is_done_are_kept(self) -> None:
+        job = make_job(StepSpec(1), StepSpec(1))
+        task = job.steps(0)[0].tasks[0]
+        for run, ending in ((1, RunEnding.FAILED), (2, RunEnding.DONE)):
+            job.place(task, RunNumber(run), _INCARNATION_ID)
+            job.end_run(task, RunNumber(run), ending, 'saved')
+        restored = make_job(StepSpec(1), StepSpec(1))
+        restored.restore(decode_progress(encode_progress(job.short_rows())))
+        self.assertEqual(1, restored.failures())
+
+
+def _job_with_ends(step: StepSpec) -> Job:
+    """Return a job whose first step is done; a second one is not."""
+    job = make_job(step, StepSpec(1, after=(0,)))
+    for task in job.steps(0)[0].tasks:
+        job.place(task, RunNumber(1), _INCARNATION_ID)
+        job.end_run(task, RunNumber(1), RunEnding.DONE, '')
+    return job
--- a/orchidrail/workers/incarnations.py
+++ b/orchidrail/workers/incarnations.py
@@ -8,10 +8,14 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
+
 from orchidrail.types import WorkerId, WorkerName
 
 #: Not allowed in a worker's name.
 BORN_SEPARATOR = '@'
+#: Ids whose parts are kept: each record of a job splits those of its workers.
+_MAX_CACHED = 4096
 
 
 def incarnation_id(name: WorkerName, born: int | None) -> WorkerId:
@@ -27,6 +31,7 @@
     return WorkerId(name if born is None else f'{name}{BORN_SEPARATOR}{born}')
 
 
+@lru_cache(maxsize=_MAX_CACHED)
 def split_incarnation_id(worker: WorkerId) -> tuple[WorkerName, int | None]:
     """Return the name and the start time of an incarnation.
 
