--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -78,6 +78,7 @@
             settings.zone,
             uuid.uuid4().hex,
             settings.speed,
+            settings.link,
         )
         self.table = PeerTable(self.me, elapsed)
         self._store_caller = RelayedCaller(
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -132,6 +132,7 @@
             queues=list(waiting),
             waiting=list(waiting.values()),
             config_version=self.config_version(),
+            link=0 if math.isinf(me.link) else me.link,
         )
 
     def owner_is_live(self) -> bool:
--- a/orchidrail/instance/settings.py
+++ b/orchidrail/instance/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from orchidrail.types import Address, InstanceId, Seconds
@@ -49,4 +51,6 @@
     advice: Address = Address('')
     #: Processor capacity of the instance, cores.
     speed: float = 1
+    #: Bandwidth of the instance's link, bytes a second; infinite if unknown.
+    link: float = math.inf
     bounds: Bounds = Bounds()
--- a/orchidrail/instance/tests/test_store_relays.py
+++ b/orchidrail/instance/tests/test_store_relays.py
@@ -14,6 +14,8 @@
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'a', 'me-1')
 _CALL = RawCall('GET', '/x')
+#: Bandwidths of links, bytes a second: 5 and 100 Mbit/s.
+_THIN_LINK, _WIDE_LINK = 625e3, 12.5e6
 
 
 class StoreRelaysTest(AsyncTestCase):
@@ -21,6 +23,7 @@
         super().setUp()
         self.now = 100.0
         self.asked: list[str] = []
+        self.timeouts: list[Seconds] = []
         self.table = PeerTable(_ME, lambda: self.now)
         self.relays = StoreRelays(self.table, self, lambda: self.now)  # type: ignore[arg-type]
 
@@ -32,9 +35,10 @@
     ) -> Ok[RelayAnswer]:
         """Act as a transport through which only the second peer succeeds."""
         self.asked.append(address)
+        self.timeouts.append(timeout)
         return Ok(RelayAnswer(200 if address == 'p-2:1' else 0, b'', True))
 
-    def record_heartbeat(self, *names: str) -> None:
+    def record_heartbeat(self, *names: str, link: float = 0) -> None:
         for name in names:
             self.table.record_heartbeat(
                 PeerState(
@@ -43,6 +47,7 @@
                     zone='b',
                     incarnation=f'{name}-1',
                     store_answers=True,
+                    link=link,
                 )
             )
 
@@ -63,3 +68,35 @@
     def test_without_peers_the_call_cannot_have_arrived(self) -> None:
         answer = self.run_async(self.relays.call(_CALL))
         self.assertFalse(answer.reached)
+
+    def test_a_large_append_goes_over_the_widest_link(self) -> None:
+        """Guards against a journal that stalls behind thin links.
+
+        An owner that is cut off from the store relays its appends. Over a link
+        of 5 Mbit/s an append of 500 kB takes longer than its timeout, so the
+        records pile up while workers are free.
+        """
+        self.record_heartbeat('p-1', 'p-3', 'p-4', link=_THIN_LINK)
+        self.record_heartbeat('p-2', link=_WIDE_LINK)
+        append = RawCall('POST', '/x', bytes(500_000))
+        for _ in range(8):
+            self.assertTrue(self.run_async(self.relays.call(append)).usable)
+        self.assertEqual({'p-2:1'}, set(self.asked))
+
+    def test_small_calls_spread_over_all_peers(self) -> None:
+        """Guards against relayed polls that all load the strongest peer."""
+        self.record_heartbeat('p-1', link=_THIN_LINK)
+        self.record_heartbeat('p-2', link=_WIDE_LINK)
+        for _ in range(64):
+            self.run_async(self.relays.call(_CALL))
+            self.now += 2
+            self.record_heartbeat('p-1', link=_THIN_LINK)
+            self.record_heartbeat('p-2', link=_WIDE_LINK)
+        self.assertEqual({'p-1:1', 'p-2:1'}, set(self.asked))
+
+    def test_a_thin_link_is_given_time_for_a_large_append(self) -> None:
+        """Guards against timeouts that a thin link can never meet."""
+        self.record_heartbeat('p-2', link=_THIN_LINK)
+        append = RawCall('POST', '/x', bytes(int(_THIN_LINK)))
+        self.run_async(self.relays.call(append))
+        self.assertGreater(self.timeouts[-1], 1)
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -91,6 +92,7 @@
             state.zone,
             state.incarnation,
             state.speed,
+            state.link or math.inf,
         )
         known = self._peer_by_name.get(state.name)
         if known is None or known.member != member:
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Annotated
 
 import msgspec
@@ -31,6 +32,7 @@
 from orchidrail.workers.port import WorkerEntry, WorkerState
 
 _MILLIS = 1000
+_BYTES_PER_MEGABIT = 125_000
 #: The metrics port of `deploy/system.toml`.
 METRICS_PORT = 9464
 _MAX_TEXT_BYTES = 4000
@@ -203,6 +205,7 @@
         store=Address(value_by_key['platform.address']),
         advice=Address(value_by_key.get('advice', '')),
         speed=_speed(value_by_key),
+        link=_link(value_by_key),
         bounds=_bounds(value_by_key),
     )
 
@@ -217,6 +220,12 @@
     return share * float(value_by_key.get('limits.cpuCores') or 1)
 
 
+def _link(value_by_key: dict[str, str]) -> float:
+    """Return the bandwidth of the instance's link in bytes a second."""
+    megabits = float(value_by_key.get('limits.linkMbps') or math.inf)
+    return megabits * _BYTES_PER_MEGABIT
+
+
 def _bounds(value_by_key: dict[str, str]) -> Bounds:
     given = {
         name: float(value_by_key[f'bounds.{key}']) / divisor
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -464,6 +464,8 @@
     waiting: list[int] = []
     #: Version of its active configuration.
     config_version: int = 0
+    #: Bandwidth of its link in bytes a second, 0 if unknown.
+    link: float = 0
 
 
 class SubmitWork(Message, frozen=True):
--- a/orchidrail/work/model.py
+++ b/orchidrail/work/model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from orchidrail.access import KeyRing
@@ -237,7 +239,8 @@
     """One running instance.
 
     `incarnation` differs after each restart of an instance of the same name;
-    `speed` compares the processors of the instances, in cores.
+    `speed` compares the processors of the instances, in cores; `link` is the
+    bandwidth of its link in bytes a second, infinite if unknown.
     """
 
     name: InstanceId
@@ -245,3 +248,4 @@
     zone: str
     incarnation: str
     speed: float = 1
+    link: float = math.inf
