--- a/orchidrail/shard/tests/fleet_case.py
+++ b/orchidrail/shard/tests/fleet_case.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -15,12 +15,13 @@
 from orchidrail.shard.tests.test_owner import make_ports
 from orchidrail.store import KeyedRecord, Topic
 from orchidrail.store.memory import MemoryStore
-from orchidrail.testing import AsyncTestCase
+from orchidrail.testing import TEST_TIMEOUT, AsyncTestCase, ReturnT
 from orchidrail.types import (
     Address,
     Epoch,
     InstanceId,
     JobId,
+    Seconds,
 )
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
 from orchidrail.work.records import encode
@@ -31,10 +32,13 @@
     WorkerEntry,
 )
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+from standins.model.loop import run_in_virtual_time
 
 ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
 WORKERS = Topic('workers')
 READ_WAIT = 0.5
+#: Clocks that start at 0 would hide times that were never set.
+_STARTED_AT: Seconds = 1000
 JOB = JobId('0123456789abcdef')
 INVALID_ENTRY = b'bad'
 _decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
@@ -47,12 +51,23 @@
 
 
 class FleetTestCase(AsyncTestCase):
-    """Runs scenarios against a first owner, which has one worker."""
+    """Runs scenarios against a first owner, which has one worker.
+
+    They run in virtual time, so their waits don't depend on the machine's load.
+    """
 
     def setUp(self) -> None:
         super().setUp()
         self.store = MemoryStore()
 
+    def run_async(self, work: Coroutine[Any, Any, ReturnT]) -> ReturnT:
+        """See `AsyncTestCase.run_async`."""
+        return run_in_virtual_time(asyncio.wait_for(work, TEST_TIMEOUT))
+
+    def clock(self) -> Seconds:
+        """Return the monotonic clock of the owners."""
+        return _STARTED_AT + asyncio.get_running_loop().time()
+
     async def write_entry(self, listed: bool, name: str = 'w-1') -> None:
         entry = make_entry(name)
         value = encode(entry) if listed else b''
@@ -64,10 +79,12 @@
         workers: FakeWorker | None = None,
     ) -> ShardOwner:
         view = JournalView(self.store, Topic('journal'))
-        writer = await take_over(view, ME, time.monotonic, Epoch(epoch))
+        writer = await take_over(view, ME, self.clock, Epoch(epoch))
         ports = make_ports(self.store)._replace(
             decode_entry=decode,
             worker_calls=workers or FakeWorker(),
+            clock=self.clock,
+            wall_clock=self.clock,
         )
         return ShardOwner(writer, ports)
 
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import msgspec
 
@@ -235,13 +234,13 @@
         async def scenario(owner: ShardOwner) -> None:
             owner._fleet._entries_settled_at = 0
             tracked = owner.state.tracked_by_worker[make_entry().worker]
-            self.assertTrue(tracked.accepts_work(time.monotonic()))
+            self.assertTrue(tracked.accepts_work(self.clock()))
             await self.write_entry(listed=False)
             await asyncio.sleep(READ_WAIT)
-            self.assertFalse(tracked.accepts_work(time.monotonic()))
+            self.assertFalse(tracked.accepts_work(self.clock()))
             await self.write_entry(listed=True)
             await asyncio.sleep(READ_WAIT)
-            self.assertTrue(tracked.accepts_work(time.monotonic()))
+            self.assertTrue(tracked.accepts_work(self.clock()))
 
         self.run_scenario(scenario)
 
@@ -254,7 +253,7 @@
             await self.write_entry(listed=False)
             await asyncio.sleep(READ_WAIT)
             tracked = owner.state.tracked_by_worker[make_entry().worker]
-            self.assertTrue(tracked.accepts_work(time.monotonic()))
+            self.assertTrue(tracked.accepts_work(self.clock()))
 
         self.run_scenario(scenario)
 
@@ -274,7 +273,7 @@
             await asyncio.sleep(READ_WAIT)
             tracked = next_owner.state.tracked_by_worker[leaving.worker]
             self.assertTrue(tracked.session.reachable)
-            self.assertFalse(tracked.accepts_work(time.monotonic()))
+            self.assertFalse(tracked.accepts_work(self.clock()))
             running.cancel()
 
         self.run_scenario(scenario)
--- a/orchidrail/shard/tests/test_foreign_entries.py
+++ b/orchidrail/shard/tests/test_foreign_entries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import msgspec
 
@@ -48,7 +47,7 @@
                 WORKERS, [KeyedRecord('w-1', INVALID_ENTRY)]
             )
             await asyncio.sleep(READ_WAIT)
-            self.assertFalse(tracked.accepts_work(time.monotonic()))
+            self.assertFalse(tracked.accepts_work(self.clock()))
             worker = owner._ports.worker_calls
             assert isinstance(worker, FakeWorker)
             self.assertIsNotNone(worker.holds[-1].deadline)
@@ -57,7 +56,7 @@
             self.assertNotIn(JOB, owner.state.job_by_id)
             await self.write_entry(listed=True)
             await asyncio.sleep(READ_WAIT)
-            self.assertTrue(tracked.accepts_work(time.monotonic()))
+            self.assertTrue(tracked.accepts_work(self.clock()))
 
         self.run_scenario(scenario)
 
@@ -132,11 +131,13 @@
             self.store = MemoryStore()
             await self.write_entry(listed=True)
             view = JournalView(self.store, Topic('journal'))
-            writer = await take_over(view, ME, time.monotonic, Epoch(0))
+            writer = await take_over(view, ME, self.clock, Epoch(0))
             ports = make_ports(self.store)._replace(
                 decode_entry=decode,
                 worker_calls=workers,
                 services=lambda: served,
+                clock=self.clock,
+                wall_clock=self.clock,
             )
             other = ShardOwner(writer, ports)
             running = asyncio.create_task(other.run())
--- a/orchidrail/shard/tests/test_next_incarnations.py
+++ b/orchidrail/shard/tests/test_next_incarnations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from orchidrail.shard.owner import ShardOwner
 from orchidrail.shard.tests.fleet_case import (
@@ -61,10 +60,10 @@
             self.assertEqual(['w-1@2000'], list(workers_in_session))
             current = workers_in_session[WorkerId('w-1@2000')]
             self.assertTrue(current.session.reachable)
-            self.assertFalse(current.accepts_work(time.monotonic()))
+            self.assertFalse(current.accepts_work(self.clock()))
             await self.write_incarnation_entry(2000)
             self.assertEqual([current], list(workers_in_session.values()))
-            self.assertTrue(current.accepts_work(time.monotonic()))
+            self.assertTrue(current.accepts_work(self.clock()))
 
         self.run_scenario(scenario)
 
--- a/orchidrail/testing.py
+++ b/orchidrail/testing.py
@@ -14,7 +14,7 @@
 from orchidrail.wire.messages import Message
 from orchidrail.wire.transport import CallResult
 
-_TEST_TIMEOUT: Seconds = 30
+TEST_TIMEOUT: Seconds = 30
 ReturnT = TypeVar('ReturnT')
 Responder = Callable[[Address, Message], Message | CallFailure]
 
@@ -27,7 +27,7 @@
 
         One that hangs is cancelled, so that the test run finishes.
         """
-        return asyncio.run(asyncio.wait_for(work, _TEST_TIMEOUT))
+        return asyncio.run(asyncio.wait_for(work, TEST_TIMEOUT))
 
     def assert_ok(self, outcome: object) -> Any:
         """Return the value of an ``Ok``; fail on anything else."""
