--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,7 @@
                 seconds,
                 f'{logs}/{number}' if logs else '',
                 per_zone=per_zone,
+                evacuating=True,
             )
             for index, number in enumerate(numbers)
         ]
@@ -52,6 +53,7 @@
         f'away for {outcome.longest_interruption:.1f} s at the most), '
         f'{outcome.gang_failures} failed runs of gangs, '
         f'idle for {outcome.longest_idle:.1f} s at the most, '
+        f'{outcome.evacuations} evacuations, '
         f'{len(outcome.violations)} broken'
     )
     return '\n    '.join([text, *outcome.violations[:5]])
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from orchidrail.sockets import listen
 from soak.advice import ADVICE, AdviceStandIn
 from soak.callers import Callers
+from soak.evacuations import Evacuations
 from soak.faults import Faults
 from soak.gangs import Gangs
 from soak.http import serve
@@ -29,9 +30,8 @@
 from soak.system import Instance
 from soak.tenants import Operator
 from soak.watch import LastingWatch
-from soak.workers import WorkerStandIn
+from soak.workers import ZONES, WorkerStandIn
 
-_ZONES = 3
 _WORKERS = 8
 _STORE_PORT = 9001
 _READY_PORT = 8167
@@ -85,6 +85,8 @@
     #: task of a job, with free capacity and without faults.
     gang_failures: int
     longest_idle: float
+    #: Evacuations of zones.
+    evacuations: int
 
 
 class Soak:
@@ -104,6 +106,8 @@
         Whether to vary jobs and faults: jobs crash workers, fail, are
         long-running, request accelerators or need advice; workers fail, lose
         capacity or restart under the same name; foreign entries are written.
+    evacuating : bool
+        Whether the operator evacuates zones and takes them back.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         *,
         per_zone: int = 2,
         crashing: bool = False,
+        evacuating: bool = False,
     ) -> None:
         """Create the stand-ins and instances; nothing is started yet."""
         self._crashing = Random(f'crashing {seed}') if crashing else None
@@ -137,6 +142,12 @@
             Random(f'operator {seed}') if crashing else None,
         )
         self.ledger.limits = self._operator
+        self._evacuations = Evacuations(
+            self._store,
+            self.ledger,
+            [f'zone-{zone}' for zone in range(ZONES)],
+            Random(f'evacuations {seed}') if evacuating else None,
+        )
         self._worker_host = f'{self._network}.9.2'
         gangs = Gangs()
         self._advice = AdviceStandIn(_WORKERS)
@@ -160,6 +171,7 @@
         ]
         for worker, link in zip(self._workers, self._links, strict=True):
             worker.on_crash = link.abort_all
+            worker.on_start = self._evacuations.record_start
         self._instances = [
             Instance(
                 f'instance-{zone}-{number}',
@@ -169,7 +181,7 @@
                 self._store_at,
                 f'{store_host}:{_ADVICE_PORT + zone * per_zone + number}',
             )
-            for zone in range(_ZONES)
+            for zone in range(ZONES)
             for number in range(per_zone)
         ]
 
@@ -227,6 +239,7 @@
             faults.write_entries(until, self._foreign_entries),
             faults.break_workers(until, self._breakage),
             self._operator.apply_changes(until),
+            self._evacuations.run(until),
         )
         if self._lasting is not None:
             fault_free_seconds = self._lasting.uniform(*_FAULT_FREE_SECONDS)
@@ -291,6 +304,7 @@
             self._lasting_watch.timer.longest,
             self.ledger.count_failures([job for job in jobs if job.gang]),
             self._starvation_watch.timer.longest,
+            self._evacuations.count,
         )
 
     async def _revoke_keys(self, callers: Callers) -> None:
@@ -389,6 +403,7 @@
     *,
     per_zone: int = 2,
     crashing: bool = True,
+    evacuating: bool = False,
 ) -> Outcome:
     """Run one seed; logs are kept in the folder `logs` if it is given."""
     with tempfile.TemporaryDirectory() as scratch:
@@ -400,5 +415,6 @@
             folder,
             per_zone=per_zone,
             crashing=crashing,
+            evacuating=evacuating,
         )
         return asyncio.run(soak.execute(seconds, _JOBS_PER_SECOND))
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -28,6 +28,8 @@
 from soak.store import StoreStandIn
 
 _EXPECTED_INSTANCE_HEADER = b'X-Orchidrail-Expect-Instance'
+#: Availability zones, over which the workers are spread.
+ZONES = 3
 _TICK = 0.02
 _MAX_LEASE_SECONDS = 6.0
 _STOP_DURATION = 0.2
@@ -139,6 +141,9 @@
         self._index = number
         #: Called on each crash, to abort all connections.
         self.on_crash: Callable[[], None] = _do_nothing
+        #: Called with the task and the worker's zone on each start.
+        self.on_start: Callable[[str, str], None] = _ignore_start
+        self.zone = f'zone-{number % ZONES}'
         self.begin_incarnation()
 
     def begin_incarnation(self, *, keeps_name: bool = False) -> None:
@@ -167,7 +172,7 @@
         entry = {
             'service': 'service',
             'address': self.address,
-            'zone': 'zone-0',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 8,
             'state': state,
@@ -317,6 +322,7 @@
         ):
             return json_response(409, {'clockMs': now_ms, 'reason': 'ticket'})
         self._ledger.record_start(order['taskId'], order['spec'], self.name)
+        self.on_start(order['taskId'], self.zone)
         self._run_by_key[key] = self._make_run(*key)
         if self._is_crashing(order['taskId']):
             asyncio.get_running_loop().call_later(
@@ -446,5 +452,9 @@
         self._store.put('keyed.servers', name, b'')
 
 
+def _ignore_start(task: str, zone: str) -> None:
+    """Ignore a start."""
+
+
 def _do_nothing() -> None:
     """Do nothing: there are no connections to abort."""
