Evacuation: nothing new is started in evacuated zones

orchidrail/evacuation holds which zones are evacuated, by the operator's records that the configuration follower reads, or a peer that has read further. Where bounds.evacuationMs is set, nothing is started before the first read, nor once the records have not been read for nearly the bound. Cold workers are filled gradually after the zone was taken back.

--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -29,6 +29,7 @@
         'stopping',
         'store lost',
         'store regained',
+        'start held, zone evacuated',
         'worker entry is back',
         'worker entry is gone',
         'worker given up',
@@ -37,6 +38,8 @@
         'worker reached',
         'worker rests',
         'worker stands still',
+        'zone evacuated',
+        'zone taken back',
     )
 )
 #: Events that end a job.
--- a/orchidrail/cli/wait_summary.py
+++ b/orchidrail/cli/wait_summary.py
@@ -14,6 +14,7 @@
     IneligibleReason.UNSUITED.value: 'of another kind or too small',
     IneligibleReason.QUARANTINED.value: 'resting after failures',
     IneligibleReason.ISOLATED_RETRY.value: 'trying a task that may crash it',
+    IneligibleReason.EVACUATED.value: 'in an evacuated zone',
     IneligibleReason.CLOSED.value: 'draining, silent or gone',
     IneligibleReason.NOT_ASKED.value: 'not asked about yet',
     IneligibleReason.NOT_PERMITTED.value: 'not permitted',
--- a/orchidrail/instance/config_follower.py
+++ b/orchidrail/instance/config_follower.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import structlog
 from result import Ok, Result
 
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
-from orchidrail.types import Seconds, ServiceName, TenantId
+from orchidrail.types import Offset, Seconds, ServiceName, TenantId
 from orchidrail.work.model import CellConfig
 from orchidrail.work.tenant import Tenant
 
@@ -25,6 +25,12 @@
 _PROPAGATION_LIMIT: Seconds = 1.5
 
 
+def _ignore_read(
+    value_by_key: Mapping[str, bytes], end: Offset, read_at: Seconds
+) -> None:
+    """Ignore the operator's records."""
+
+
 class ConfigFollower:
     """Keeps the newest configuration; never reverts to an older one.
 
@@ -59,6 +65,11 @@
         self._newest_peer_version = 0
         self._newer_known_since: Seconds = 0
         self.current: CellConfig | None = None
+        #: Called after each successful read with all records of the operator,
+        #: their end, and the start of the read.
+        self.on_read: Callable[[Mapping[str, bytes], Offset, Seconds], None] = (
+            _ignore_read
+        )
         self._view = view
         self._key = key
         self._decode = decode
@@ -110,6 +121,10 @@
             started_at = self._clock()
             if await self._view.catch_up(wait):
                 self._confirmed_at = started_at
+                assert self._view.end is not None
+                self.on_read(
+                    self._view.value_by_key, self._view.end, started_at
+                )
             else:
                 await asyncio.sleep(_RETRY_PAUSE)
             self._apply_stored()
--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -13,6 +13,7 @@
 
 from orchidrail.background_tasks import BackgroundTasks
 from orchidrail.clocks import elapsed
+from orchidrail.evacuation import EvacuationFollower, ZoneGate
 from orchidrail.ingress.authentication import CallAuthenticator
 from orchidrail.ingress.job_forwarder import JobForwarder
 from orchidrail.instance.config_follower import ConfigFollower
@@ -26,7 +27,11 @@
 from orchidrail.peers.members import MemberList
 from orchidrail.peers.pinger import Pinger
 from orchidrail.peers.table import PeerTable
-from orchidrail.platform.configuration import CONFIG_KEY, decode_config
+from orchidrail.platform.configuration import (
+    CONFIG_KEY,
+    decode_config,
+    find_evacuated_zones,
+)
 from orchidrail.platform.documents import decode_worker
 from orchidrail.platform.http_calls import DropReason, HttpCaller
 from orchidrail.platform.store_log import (
@@ -115,6 +120,15 @@
             self.metrics,
             elapsed,
         )
+        self.evacuation = EvacuationFollower(
+            ZoneGate(elapsed, settings.bounds.evacuation),
+            find_evacuated_zones,
+            self.metrics,
+        )
+        self.config.on_read = self.evacuation.on_read
+        self.table.on_operator_records = self.evacuation.on_peer
+        if settings.bounds.evacuation:
+            self.ownership.evacuated = lambda: self.evacuation.gate.snapshot
         self.table.on_config_version = self.config.observe_version
         self.ownership.config_version = lambda: self.config.version
         self.ownership.ports = self._owner_ports()
@@ -236,6 +250,7 @@
             self.metrics,
             self.config.services,
             self.config.find_tenant,
+            self.evacuation.gate,
         )
 
     def _check_connections_soon(self) -> None:
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -9,6 +9,7 @@
 import structlog
 import xxhash
 
+from orchidrail.evacuation import EvacuatedZones, ZoneSnapshot
 from orchidrail.journal import JournalView, TakeOverError
 from orchidrail.journal.writer import current_owner, read_owner, take_over
 from orchidrail.peers.pinger import Pinger
@@ -98,6 +99,8 @@
         self.ports: OwnerPorts | None = None
         #: Version of the configuration in force here.
         self.config_version: Callable[[], int] = int
+        #: The zones that are evacuated, for the heartbeats.
+        self.evacuated: Callable[[], ZoneSnapshot] = _nothing_read
         self._table = table
         self._view = view
         self._clock = clock
@@ -118,6 +121,7 @@
         claim = self._table.claim
         owner = self.owner
         waiting = {} if owner is None else owner.waiting_by_queue()
+        evacuated = self.evacuated()
         return PeerState(
             name=me.name,
             address=me.address,
@@ -132,6 +136,8 @@
             queues=list(waiting),
             waiting=list(waiting.values()),
             config_version=self.config_version(),
+            operator_end=evacuated.offset,
+            evacuated_zones=sorted(evacuated.zones),
         )
 
     def owner_is_live(self) -> bool:
@@ -357,5 +363,9 @@
         return -member.speed, digest
 
 
+def _nothing_read() -> ZoneSnapshot:
+    return EvacuatedZones().snapshot
+
+
 def _store_not_checked() -> bool:
     return False
--- a/orchidrail/instance/settings.py
+++ b/orchidrail/instance/settings.py
@@ -25,6 +25,9 @@
         configuration for `revocation`.
     revocation : float
         Time for which a revoked key may still be accepted.
+    evacuation : float
+        Time after which nothing may be started in a zone whose evacuation was
+        acknowledged; 0 if no such bound is set.
     """
 
     longest_lease: Seconds = 6
@@ -33,6 +36,7 @@
     stop_takes: Seconds = 1
     strict_revocation: bool = False
     revocation: Seconds = 5
+    evacuation: Seconds = 0
 
 
 class InstanceSettings(msgspec.Struct, frozen=True):
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -290,6 +290,14 @@
             'config_version',
             'Version of the configuration in force.',
         )
+        self.evacuated_zones = self._gauge(
+            'evacuated_zones',
+            'Zones on whose workers nothing is started.',
+        )
+        self.held_starts = self._counter(
+            'held_starts',
+            'Placed starts that were not sent because of an evacuation.',
+        )
         self.workers = self._gauge(
             'workers',
             'Workers of the shard owned here, by standing.',
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -27,6 +27,10 @@
     """Ignore the configuration version of a peer."""
 
 
+def _ignore_records(end: int, zones: list[str]) -> None:
+    """Ignore what a peer has read of the operator's records."""
+
+
 class KnownPeer(msgspec.Struct):
     """A peer and the time of its last heartbeat."""
 
@@ -66,6 +70,11 @@
         self.owner_ping_delay: Seconds = 0
         #: Called with the configuration version of each heartbeat.
         self.on_config_version: Callable[[int], object] = _ignore_version
+        #: Called with the end of the operator's records that the sender of each
+        #: heartbeat has read, and the zones evacuated there.
+        self.on_operator_records: Callable[[int, list[str]], object] = (
+            _ignore_records
+        )
         self._clock = clock
         self._started_at = clock()
         self._peer_by_name: dict[InstanceId, KnownPeer] = {}
@@ -85,6 +94,7 @@
             return
         now = self._clock()
         self.on_config_version(state.config_version)
+        self.on_operator_records(state.operator_end, state.evacuated_zones)
         member = MemberInfo(
             state.name,
             state.address,
--- a/orchidrail/platform/configuration.py
+++ b/orchidrail/platform/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
@@ -10,7 +11,7 @@
 
 from orchidrail.access import KeyRing, digest_of
 from orchidrail.platform.fields import DECODE_ERRORS, Count, NonEmptyText
-from orchidrail.types import QueueName, ServiceName, TenantId
+from orchidrail.types import QueueName, ServiceName, TenantId, ZoneId
 from orchidrail.work.model import (
     AdviceCost,
     CellConfig,
@@ -22,6 +23,7 @@
 
 #: Key of the configuration among the operator's records.
 CONFIG_KEY = 'config'
+_EVACUATION_PREFIX = 'evacuate/'
 _MILLIS = 1000
 #: Characters of a value that are quoted in an error.
 _MAX_QUOTED = 120
@@ -122,6 +124,21 @@
     )
 
 
+def find_evacuated_zones(keys: Iterable[str]) -> frozenset[ZoneId]:
+    """Return the zones whose evacuation is among the operator's records.
+
+    Examples
+    --------
+    >>> find_evacuated_zones(['config', 'evacuate/z-1'])
+    frozenset({'z-1'})
+    """
+    return frozenset(
+        ZoneId(key.removeprefix(_EVACUATION_PREFIX))
+        for key in keys
+        if key.startswith(_EVACUATION_PREFIX)
+    )
+
+
 def _find_conflict(tenants: list[_Tenant]) -> str:
     """Return why tenants are ambiguous, empty if names and keys are unique."""
     name_by_key: dict[str, str] = {}
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -43,6 +43,7 @@
     'status_s': ('status_kept', 1),
     'stop_ms': ('stop_takes', _MILLIS),
     'revocationMs': ('revocation', _MILLIS),
+    'evacuationMs': ('evacuation', _MILLIS),
 }
 _STRICT_REVOCATION_KEY = 'bounds.strictRevocation'
 
@@ -141,6 +142,7 @@
             labels=tuple(entry.labels),
             state=entry.state,
             leaves_in=entry.remaining_ms / _MILLIS,
+            warmup_left=entry.warmup_left_ms / _MILLIS,
             born=entry.born,
         )
     )
--- a/orchidrail/shard/eligibility.py
+++ b/orchidrail/shard/eligibility.py
@@ -34,6 +34,8 @@
     QUARANTINED = 'rests'
     #: It runs an isolated retry of a task that is suspected of crashes.
     ISOLATED_RETRY = 'trial'
+    #: Its zone is evacuated.
+    EVACUATED = 'evacuated'
     #: It accepts no work for another reason: it drains, is unresponsive or
     #: gone.
     CLOSED = 'closed'
@@ -125,6 +127,7 @@
     IneligibleReason.ISOLATED_RETRY: lambda tracked, now: bool(
         tracked.isolated_runs
     ),
+    IneligibleReason.EVACUATED: lambda tracked, now: tracked.evacuated,
     IneligibleReason.CLOSED: lambda tracked, now: not tracked.accepts_work(now),
 }
 #: Reasons that apply to a step on a permitted worker that accepts work. Checked
--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -358,7 +358,9 @@
             self._may_renew,
             self._state.reserve_fencing_token,
         )
-        tracked = TrackedWorker(session, self._state.ledger)
+        tracked = TrackedWorker(
+            session, self._state.ledger, self._state.zone_gate
+        )
         tracked.crashed_at = self._runs.last_crash_at(entry.address)
         self._state.tracked_by_worker[tracked.worker] = tracked
         self._worker_by_name[entry.name] = tracked.worker
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from orchidrail.evacuation import ZoneGate
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
@@ -88,6 +89,8 @@
     services: Callable[[], Collection[ServiceName] | None] = _services_unknown
     #: Returns a tenant of the current configuration.
     find_tenant: FindTenant = find_no_tenant
+    #: Keeps starts out of evacuated zones; None if no zone is evacuated.
+    zone_gate: ZoneGate | None = None
 
 
 class ShardOwner:
@@ -111,6 +114,7 @@
             ports.wall_clock,
             ports.metrics,
             ports.find_tenant,
+            ports.zone_gate,
         )
         self._admission = AdmissionControl(self.state)
         self.runs = RunTracker(
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -90,7 +90,7 @@
         self._refresh_waiting()
         now = self._state.clock()
         wall = self._state.wall_clock()
-        if self._defer_for_journal(now):
+        if self._defer_for_store(now):
             return
         candidates = [
             tracked
@@ -179,8 +179,11 @@
             step.limit_reached_at = this_pass.now
         return in_limit
 
-    def _defer_for_journal(self, now: Seconds) -> bool:
-        if self._state.writer.time_since_confirmed() < _JOURNAL_TIMEOUT:
+    def _defer_for_store(self, now: Seconds) -> bool:
+        """Place nothing while the store has not responded for long."""
+        unconfirmed = self._state.writer.time_since_confirmed()
+        outdated = self._state.zone_gate.is_outdated
+        if unconfirmed < _JOURNAL_TIMEOUT and not outdated:
             return False
         waiting = (job for job, steps in self._waiting_by_job.items() if steps)
         self._record_waits(dict.fromkeys(waiting, WaitReason.JOURNAL), now)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -25,7 +25,7 @@
     note_progress,
 )
 from orchidrail.shard.worker_selection import Placement
-from orchidrail.types import Address, RunNumber, Seconds, WorkerId
+from orchidrail.types import Address, RunNumber, Seconds, WorkerId, ZoneId
 from orchidrail.work.job import Job
 from orchidrail.work.records import TaskPhase
 from orchidrail.work.step import StepState
@@ -106,12 +106,16 @@
         placed = [self._allocate(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
         self._state.changed_jobs.add(step.job.job_id)
+        zones = {placement.tracked.entry.zone for placement in chosen}
         for placed_run, placement in zip(placed, chosen, strict=True):
+            if not step.spec.gang:
+                zones = {placement.tracked.entry.zone}
             mark_unconfirmed = partial(
                 self._mark_unconfirmed, placed_run, placement.tracked
             )
             self._tasks.spawn(
-                self._start(commit, placed_run, placement), mark_unconfirmed
+                self._start(commit, placed_run, placement, zones),
+                mark_unconfirmed,
             )
         _log.info(
             'placed',
@@ -329,13 +333,22 @@
         commit: Commit,
         run: PlacedRun,
         placement: Placement,
+        zones: set[str],
     ) -> None:
+        """Send a start once the journal has it.
+
+        Parameters
+        ----------
+        zones : set of str
+            Zones of all tasks that must start together.
+        """
         task, tracked = placement
         ticket = task.step.permits.ticket_by_worker.get(tracked.worker, '')
         job = task.step.job
         if not await commit.wait() or not tracked.holds(run):
             return
-        if run.stopping or job.ended or tracked.overcommitted:
+        obsolete = run.stopping or job.ended or tracked.overcommitted
+        if obsolete or self._is_held(run, tracked, zones):
             # The worker's capacity may have shrunk since the placement.
             self._release_unstarted(tracked, run, OrderResult.NOT_SENT)
             return
@@ -370,6 +383,24 @@
         else:
             run.start_deadline = deadline
 
+    def _is_held(
+        self, run: PlacedRun, tracked: TrackedWorker, zones: set[str]
+    ) -> bool:
+        """Whether a start must not be sent because of an evacuation."""
+        gate = self._state.zone_gate
+        if all(gate.may_start_in(ZoneId(zone)) for zone in zones):
+            return False
+        self._state.metrics.held_starts.inc()
+        _log.info(
+            'start held, zone evacuated',
+            task=run.key.task,
+            run=run.key.run,
+            worker=tracked.worker,
+            evacuated=tracked.entry.zone,
+            outdated=gate.is_outdated,
+        )
+        return True
+
     def _release_unstarted(
         self,
         tracked: TrackedWorker,
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from orchidrail.evacuation import ZoneGate
 from orchidrail.journal import JournalWriter
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
@@ -74,6 +75,8 @@
     metrics : InstanceMetrics
     find_tenant : callable
         Returns a tenant of the current configuration.
+    zone_gate : ZoneGate, optional
+        Keeps starts out of evacuated zones.
     """
 
     def __init__(
@@ -83,10 +86,12 @@
         wall_clock: Callable[[], Seconds],
         metrics: InstanceMetrics,
         find_tenant: FindTenant = find_no_tenant,
+        zone_gate: ZoneGate | None = None,
     ) -> None:
         """Start without jobs and workers."""
         self.ledger = TenantLedger(find_tenant, clock)
         self.shares = FairShares(clock)
+        self.zone_gate = zone_gate or ZoneGate(clock)
         self.metrics = metrics
         metrics.epoch.set(writer.owner.epoch)
         self.writer = writer
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -8,13 +8,14 @@
 
 import msgspec
 
+from orchidrail.evacuation import ZoneGate, cold_slots
 from orchidrail.shard.tenant_ledger import (
     QuotaUsage,
     TenantLedger,
     quota_usage_of,
 )
 from orchidrail.shard.worker_speed import SpeedClass
-from orchidrail.types import Seconds, WorkerId
+from orchidrail.types import Seconds, WorkerId, ZoneId
 from orchidrail.work.model import StepSpec
 from orchidrail.work.size import Size
 from orchidrail.work.step import Task
@@ -181,16 +182,20 @@
     session : WorkerSession
     ledger : TenantLedger, optional
         Counts the usage of each tenant on this worker.
+    zone_gate : ZoneGate, optional
+        Keeps new work out of evacuated zones.
     """
 
     def __init__(
         self,
         session: WorkerSession,
         ledger: TenantLedger | None = None,
+        zone_gate: ZoneGate | None = None,
     ) -> None:
         """Start with the whole capacity free."""
         self.session = session
         self._ledger = ledger or TenantLedger()
+        self._zone_gate = zone_gate
         self.entry: WorkerEntry = session.entry
         self.worker: WorkerId = session.entry.worker
         self.free: Size = session.entry.capacity
@@ -244,10 +249,28 @@
         responsive = session.reachable and not session.terminated
         if not responsive or not self.listed:
             return False
-        if self._unsized_runs or self.stalled or self.isolated_runs:
+        occupied = self._unsized_runs or self.isolated_runs
+        if occupied or self.stalled or self.evacuated:
             return False
         return self.entry.state is WorkerState.READY
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether the worker's zone is evacuated."""
+        gate = self._zone_gate
+        return gate is not None and gate.is_evacuated(ZoneId(self.entry.zone))
+
+    @property
+    def usable_share(self) -> float:
+        """Share of the processor time that may be used, 1 unless cold.
+
+        Only workers of a zone that was taken back count as cold.
+        """
+        gate = self._zone_gate
+        if gate is None or not self.entry.warmup_left:
+            return 1
+        return gate.usable_share(ZoneId(self.entry.zone))
+
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Apply a new entry of the worker; its capacity may have changed.
 
@@ -374,6 +397,10 @@
         if self.isolated_runs:
             return 0
         fitting = size.copies_in(self.free)
+        share = self.usable_share
+        if share < 1:
+            capacity = self.entry.capacity
+            fitting = min(fitting, cold_slots(size, capacity, self.free, share))
         if max_count:
             return min(fitting, max_count - self.count_by_step[step_key])
         return fitting
--- a/orchidrail/shard/worker_selection.py
+++ b/orchidrail/shard/worker_selection.py
@@ -121,6 +121,7 @@
             step.failed_workers.count(tracked.worker),
             bool(rack) and tracked.entry.rack != rack,
             order[tracked.speed_class],
+            tracked.usable_share < 1,
             tracked.free.millicores,
         ),
     )
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -464,6 +464,10 @@
     waiting: list[int] = []
     #: Version of its active configuration.
     config_version: int = 0
+    #: Offset up to which it has read the operator's records, and the zones that
+    #: are evacuated there.
+    operator_end: int = -1
+    evacuated_zones: list[str] = []
 
 
 class SubmitWork(Message, frozen=True):
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -360,6 +360,8 @@
   queues @10 :List(Text);
   waiting @11 :List(Int64);
   configVersion @12 :Int64;
+  operatorEnd @13 :Int64;
+  evacuatedZones @14 :List(Text);
 }
 
 struct SubmitWork {
--- a/orchidrail/workers/port.py
+++ b/orchidrail/workers/port.py
@@ -41,6 +41,8 @@
         Minimum number of seconds left while the worker drains.
     born : int, optional
         Start of the incarnation, Unix milliseconds; None if not reported.
+    warmup_left : float
+        Seconds for which the worker is still cold, and slow.
     """
 
     #: Stored as 'worker', as journals of older versions have it.
@@ -53,6 +55,7 @@
     state: WorkerState = WorkerState.READY
     leaves_in: Seconds = 0
     born: int | None = None
+    warmup_left: Seconds = 0
 
     @property
     def worker(self) -> WorkerId:
--- a/soak/system.py
+++ b/soak/system.py
@@ -29,6 +29,7 @@
 bounds.gracePeriodS={grace}
 bounds.status_s=120
 bounds.stop_ms=200
+bounds.evacuationMs=5000
 commands=invocation
 platform.address={host}:{store}
 advice={advice}
