--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -337,6 +337,20 @@
         self.assertEqual(5, settings.bounds.longest_lease)
         self.assertEqual(1, settings.bounds.stop_takes)
 
+    def test_settings_of_evacuation(self) -> None:
+        settings = documents.decode_settings(_SETTINGS)
+        self.assertEqual(0, settings.bounds.evacuation)
+        lines = f'{_SETTINGS}\nbounds.evacuationMs=4500'
+        settings = documents.decode_settings(lines)
+        self.assertEqual(4.5, settings.bounds.evacuation)
+
+    def test_evacuated_zones_are_found_among_the_operators_records(
+        self,
+    ) -> None:
+        keys = ['config', 'evacuate/z-1', 'wave/1', 'evacuate/z-2']
+        found = configuration.find_evacuated_zones(keys)
+        self.assertEqual({'z-1', 'z-2'}, found)
+
     def test_settings_of_key_revocation(self) -> None:
         for word, strict in (('true', True), ('false', False), ('', False)):
             lines = f'bounds.strictRevocation={word}\nbounds.revocationMs=4500'
