--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -38,6 +38,7 @@
 from orchidrail.work.tenant import Tenant
 from orchidrail.workers.entry_errors import InvalidEntry
 from orchidrail.workers.port import WorkerEntry
+from standins.model.evacuations import ModelEvacuations
 from standins.model.evaluation import (
     EndedJob,
     Outcome,
@@ -56,12 +57,9 @@
 from standins.model.load import (
     TRAFFIC_START,
     WARM_UP,
-    Breakage,
     CellLoad,
-    Crashes,
     DrawnJob,
-    Outage,
-    Shrinkage,
+    Fault,
     draw_jobs,
 )
 from standins.model.loop import run_in_virtual_time
@@ -127,6 +125,8 @@
             random,
             self._drawn_by_id.__getitem__,
         )
+        self._evacuations = ModelEvacuations(load.evacuations)
+        self.workers.on_start = self._evacuations.record_start
         self._ended_by_id: dict[str, EndedJob] = {}
         self.liveness = LivenessWatch()
         self.lasting = LastingWatch(self.workers)
@@ -161,6 +161,7 @@
                 self._run_crashes(),
                 self._run_shrinkages(),
                 self._run_breakages(),
+                self._evacuations.run(owner.state.zone_gate, WARM_UP),
             )
             for coroutine in coroutines:
                 stack.callback(asyncio.create_task(coroutine).cancel)
@@ -343,6 +344,7 @@
             crashes=summarize_crashes(jobs, workers.history),
             by_tenant=score_tenants(jobs),
             over_limit=workers.limits.violations,
+            late_in_zone=self._evacuations.late_starts,
             left_waiting=len(self.lasting.left_waiting),
             alone=sum(map(self._counts_as_alone, workers.gangs.lone_ends)),
             processor_s=round(processor_s, 2),
@@ -369,11 +371,12 @@
 
 def _fault_spans(load: CellLoad) -> Iterator[tuple[Seconds, Seconds]]:
     """Yield the start and end of each fault, on the loop's clock."""
-    faults: tuple[Outage | Crashes | Shrinkage | Breakage, ...] = (
+    faults: tuple[Fault, ...] = (
         *load.outages,
         *load.crashes,
         *load.shrinkages,
         *load.breakages,
+        *load.evacuations,
     )
     for fault in faults:
         begins = WARM_UP + fault.at
--- a/standins/model/evaluation.py
+++ b/standins/model/evaluation.py
@@ -132,6 +132,8 @@
         Worth earned by each tenant as a share of that of its usual jobs.
     over_limit : int
         Starts beyond the limit of a tenant.
+    late_in_zone : int
+        Starts in an evacuated zone, later than the bound allows.
     left_waiting : int
         Long-running tasks not started again though there was capacity.
     alone : int
@@ -151,6 +153,7 @@
     crashes: CrashOutcome
     by_tenant: dict[str, float]
     over_limit: int
+    late_in_zone: int
     left_waiting: int
     alone: int
     processor_s: Seconds
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -6,7 +6,7 @@
 import pathlib
 import tomllib
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 
@@ -24,6 +24,7 @@
     StepSpec,
 )
 from orchidrail.work.size import Size
+from standins.model.evacuations import Evacuation
 from standins.model.tenants import (
     HotSpell,
     LimitChange,
@@ -211,6 +212,18 @@
     left: float
 
 
+class Fault(Protocol):
+    """A disturbance with a start and a duration, seconds."""
+
+    @property
+    def at(self) -> Seconds:
+        """Start, from the start of the traffic."""
+
+    @property
+    def lasts(self) -> Seconds:
+        """Duration."""
+
+
 class CellLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One simulated day.
 
@@ -253,6 +266,7 @@
     crashes: list[Crashes] = []
     shrinkages: list[Shrinkage] = []
     breakages: list[Breakage] = []
+    evacuations: list[Evacuation] = []
     append_takes: Seconds = 0
     late_share: float = 0
     tenants: list[TenantLoad] = []
--- a/standins/model/workers.py
+++ b/standins/model/workers.py
@@ -87,6 +87,8 @@
         self.gangs = Gangs(self._begin_work, self._end)
         #: Starts that exceeded the capacity of a worker.
         self.overfull = 0
+        #: Called with the worker's zone on each start.
+        self.on_start: Callable[[str], object] = _ignore_start
         self.refused_tickets = 0
         #: Starts for a previous incarnation, executed by one that no owner had
         #: contacted: no order could have fenced them off.
@@ -467,6 +469,7 @@
     def _check_start(self, worker: ModelWorker, key: RunKey) -> None:
         """Record a start, and count it if it exceeds the capacity."""
         self.history.record_start(key, worker.entry.worker)
+        self.on_start(worker.entry.zone)
         sizes = map(self.size_of, (*worker.run_by_key, key))
         used = sum(sizes, Size())
         checked = _now() - worker.capacity_since > _CAPACITY_CHANGE_GRACE
@@ -478,6 +481,10 @@
     return asyncio.get_running_loop().time()
 
 
+def _ignore_start(zone: str) -> None:
+    """Ignore a start."""
+
+
 def _publish_nothing(name: WorkerName, entry: WorkerEntry | None) -> None:
     """Discard the entry: there is no store."""
 
