--- a/orchidrail/evacuation/gate.py
+++ b/orchidrail/evacuation/gate.py
@@ -48,6 +48,9 @@
             max(bound - _ORDER_MARGIN, bound / 2) if bound else math.inf
         )
         self._zones = EvacuatedZones()
+        #: Zones that are known to be evacuated. A plain attribute, as each
+        #: placement pass looks at it for each worker.
+        self.closed: frozenset[ZoneId] = frozenset()
         self._confirmed_at: Seconds = -math.inf
 
     @property
@@ -57,7 +60,9 @@
 
     def apply(self, snapshot: ZoneSnapshot) -> ZoneChanges:
         """Apply a snapshot of this instance or of a peer."""
-        return self._zones.apply(snapshot, self._clock())
+        changes = self._zones.apply(snapshot, self._clock())
+        self.closed = self._zones.snapshot.zones
+        return changes
 
     def confirm(self, read_at: Seconds) -> None:
         """Record that all records written before a time have been applied."""
@@ -65,7 +70,7 @@
 
     def is_evacuated(self, zone: ZoneId) -> bool:
         """Whether a zone is known to be evacuated."""
-        return self._zones.is_evacuated(zone)
+        return zone in self.closed
 
     @property
     def is_outdated(self) -> bool:
--- a/orchidrail/evacuation/zones.py
+++ b/orchidrail/evacuation/zones.py
@@ -7,7 +7,7 @@
 
 from orchidrail.types import Offset, Seconds, ZoneId
 
-_NOTHING_READ = Offset(-1)
+_NOTHING_READ = Offset(0)
 
 
 class ZoneSnapshot(NamedTuple):
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from orchidrail.clocks import elapsed
 from orchidrail.evacuation import ZoneGate, cold_slots
 from orchidrail.shard.tenant_ledger import (
     QuotaUsage,
@@ -195,7 +196,7 @@
         """Start with the whole capacity free."""
         self.session = session
         self._ledger = ledger or TenantLedger()
-        self._zone_gate = zone_gate
+        self._zone_gate = zone_gate or ZoneGate(elapsed)
         self.entry: WorkerEntry = session.entry
         self.worker: WorkerId = session.entry.worker
         self.free: Size = session.entry.capacity
@@ -257,8 +258,7 @@
     @property
     def evacuated(self) -> bool:
         """Whether the worker's zone is evacuated."""
-        gate = self._zone_gate
-        return gate is not None and gate.is_evacuated(ZoneId(self.entry.zone))
+        return self.entry.zone in self._zone_gate.closed
 
     @property
     def usable_share(self) -> float:
@@ -266,10 +266,9 @@
 
         Only workers of a zone that was taken back count as cold.
         """
-        gate = self._zone_gate
-        if gate is None or not self.entry.warmup_left:
+        if not self.entry.warmup_left:
             return 1
-        return gate.usable_share(ZoneId(self.entry.zone))
+        return self._zone_gate.usable_share(ZoneId(self.entry.zone))
 
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Apply a new entry of the worker; its capacity may have changed.
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -466,7 +466,7 @@
     config_version: int = 0
     #: Offset up to which it has read the operator's records, and the zones that
     #: are evacuated there.
-    operator_end: int = -1
+    operator_end: int = 0
     evacuated_zones: list[str] = []
 
 
