--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -466,6 +466,10 @@
     config_version: int = 0
     #: Bandwidth of its link in bytes a second, 0 if unknown.
     link: float = 0
+    #: Offset up to which it has read the operator's records, and the zones that
+    #: are evacuated there.
+    operator_end: int = 0
+    evacuated_zones: list[str] = []
 
 
 class SubmitWork(Message, frozen=True):
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -361,6 +361,8 @@
   waiting @11 :List(Int64);
   configVersion @12 :Int64;
   link @13 :Float64;
+  operatorEnd @14 :Int64;
+  evacuatedZones @15 :List(Text);
 }
 
 struct SubmitWork {
