wire: keep the encoding of repeated heartbeats

Most heartbeats equal the last one of their sender but for the correlation id. Encoding a repeated one takes 4 us instead of 25-34, decoding 6 instead of 47-55 (loop of 3,000 in one process on the shared machine).

--- a/orchidrail/properties/test_codec.py
+++ b/orchidrail/properties/test_codec.py
@@ -15,7 +15,7 @@
 from testtools import TestCase
 
 from orchidrail.wire import codec
-from orchidrail.wire.messages import ENVELOPE_TYPES, Message
+from orchidrail.wire.messages import ENVELOPE_TYPES, Message, PeerState
 
 _EXAMPLES = 400
 _correlations = st.integers(0, 2**64 - 1)
@@ -79,3 +79,30 @@
         earlier = _encode_from_dictionary(correlation, message)
         frame = codec.encode(correlation, message)
         self.assertEqual(codec.decode(earlier), codec.decode(frame))
+
+    @settings(max_examples=_EXAMPLES, deadline=None)
+    @given(
+        st.lists(st.tuples(_correlations, st.integers(0, 2)), max_size=12),
+        st.tuples(*map(_records, (PeerState, PeerState, PeerState))),
+    )
+    def test_repeated_heartbeats_are_encoded_alike(
+        self,
+        sent: list[tuple[int, int]],
+        heartbeats: tuple[PeerState, ...],
+    ) -> None:
+        """Guards against a kept frame that is used for another message."""
+        for correlation, number in sent:
+            message = heartbeats[number]
+            frame = codec.encode(correlation, message)
+            self.assertEqual((correlation, message), codec.decode(frame))
+            self.assertEqual((correlation, message), codec._decode(frame))
+
+    @settings(deadline=None)
+    @given(_correlations, _records(PeerState), st.data())
+    def test_truncated_heartbeats_are_rejected(
+        self, correlation: int, message: PeerState, data: st.DataObject
+    ) -> None:
+        frame = codec.encode(correlation, message)
+        codec.decode(frame)
+        length = data.draw(st.integers(0, len(frame) - 1))
+        self.assertRaises(codec.CodecError, codec.decode, frame[:length])
--- a/orchidrail/wire/codec.py
+++ b/orchidrail/wire/codec.py
@@ -8,7 +8,8 @@
 import capnp
 import msgspec
 
-from orchidrail.wire.messages import ENVELOPE_TYPES, Message
+from orchidrail.wire.messages import ENVELOPE_TYPES, Message, PeerState
+from orchidrail.wire.repeated_frames import RepeatedFrames, split_frame
 
 _SCHEMA_FILE = pathlib.Path(__file__).with_name('schema.capnp')
 #: Maximum bytes of a malformed frame in an error message.
@@ -28,6 +29,9 @@
 }
 
 
+_heartbeats: RepeatedFrames[PeerState] = RepeatedFrames()
+
+
 class Envelope(NamedTuple):
     """A message with the id that correlates a request and its answer."""
 
@@ -48,6 +52,16 @@
     >>> decode(encode(7, Ack()))
     Envelope(correlation=7, message=Ack())
     """
+    if not isinstance(message, PeerState):
+        return _encode(correlation, message)
+    frame = _heartbeats.encode(correlation, message)
+    if frame is None:
+        frame = _encode(correlation, message)
+        _heartbeats.note_encoded(message, frame)
+    return frame
+
+
+def _encode(correlation: int, message: Message) -> bytes:
     envelope = _schema.Envelope.new_message()
     envelope.correlation = correlation
     body = envelope.body.init(_name_by_type[type(message)])
@@ -87,6 +101,17 @@
     CodecError
         If the bytes are not a valid message.
     """
+    split = split_frame(frame)
+    heartbeat = None if split is None else _heartbeats.decode(split)
+    if split is not None and heartbeat is not None:
+        return Envelope(split.correlation, heartbeat)
+    decoded = _decode(frame)
+    if split is not None and isinstance(decoded.message, PeerState):
+        _heartbeats.note_decoded(split, decoded.message)
+    return decoded
+
+
+def _decode(frame: bytes) -> Envelope:
     try:
         envelope = _schema.Envelope.from_bytes_packed(frame)
         name = envelope.body.which()
