--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -29,11 +29,12 @@
 #: Minimum pause between two passes. Passes take at most half of the time, so
 #: that orders to workers and polls proceed in between.
 _MIN_PAUSE: Seconds = 0.004
-#: The same for each worker and for each waiting step that the pass looks at,
-#: about what that takes. Where the clock stands still during a pass, or several
-#: processes share a core, the measured duration says too little.
-_PAUSE_PER_WORKER: Seconds = 10e-6
-_PAUSE_PER_STEP: Seconds = 40e-6
+#: The same for each worker and for each waiting step that the pass looks at:
+#: about four times what that takes, so that passes take a fifth of the time.
+#: Where the clock stands still during a pass, or several processes share a
+#: core, the measured duration says too little.
+_PAUSE_PER_WORKER: Seconds = 40e-6
+_PAUSE_PER_STEP: Seconds = 160e-6
 #: Bound of these, small beside the objectives of urgent work (0.25 s and more).
 _MAX_LOAD_PAUSE: Seconds = 0.02
 #: Maximum interval between passes, so that elapsed timeouts are noticed.
