shard: run passes over urgent steps during the pause by load

A new urgent job, or advice for one, no longer waits for the end of the pause between full passes: a pass over the urgent steps alone decides the same for them, as they go before all others.

--- a/orchidrail/shard/advice_requester.py
+++ b/orchidrail/shard/advice_requester.py
@@ -226,7 +226,7 @@
             self._count_call(batch, -1)
             if not step.spec.gang or not step.permits.calls_in_flight:
                 self._place_held(step, batch.held)
-            self._state.pass_requested.set()
+            self._state.request_pass(step.job)
 
     def _record_advice(
         self,
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -237,6 +237,7 @@
         # Its first steps may be placed while it is being written: a start waits
         # for its own record, which is never written before that of the job.
         self.state.mark_changed(job)
+        self.state.request_pass(job)
         # A callback, as the caller may disconnect before the reply.
         commit.on_decided(lambda committed: self._accept(job, committed))
         waiting = asyncio.ensure_future(commit.wait())
--- a/orchidrail/shard/placement_pass.py
+++ b/orchidrail/shard/placement_pass.py
@@ -239,6 +239,18 @@
             tracked.worker: tracked.free for tracked in accepting
         }
 
+    def lower(self, accepting: list[TrackedWorker]) -> None:
+        """Record less free capacity after a pass over some of the steps.
+
+        What has become free since the last full pass is still more than before
+        for the other steps.
+        """
+        for tracked in accepting:
+            before = self._free_by_worker.get(tracked.worker)
+            if before is not None:
+                lower = Size(*map(min, before, tracked.free))
+                self._free_by_worker[tracked.worker] = lower
+
 
 class PlacementPass:
     """Capacity that is left in one placement pass, and its findings."""
@@ -254,6 +266,8 @@
         accepts_request: Callable[[Rank, StepState], bool] = _accept_request,
     ) -> None:
         """Start with all workers that accept work, and quarantined ones."""
+        self.accepting = accepting
+        self.quarantined = quarantined
         self.with_more_free = with_more_free
         #: Whether another advice request of a step would be sent.
         self.accepts_request = accepts_request
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -17,7 +17,7 @@
     PlacementPass,
     WaitingStep,
 )
-from orchidrail.shard.ranking import Rank, step_timing
+from orchidrail.shard.ranking import Rank, is_urgent, step_timing
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import TrackedWorker
@@ -89,7 +89,25 @@
             started = self._state.clock()
             self.place_all()
             duration = self._state.clock() - started
-            await asyncio.sleep(max(self._load_pause(), duration))
+            await self._pause(duration)
+
+    async def _pause(self, duration: Seconds) -> None:
+        """Pause after a pass that took `duration`; serve urgent work meanwhile.
+
+        Urgent steps go before all others in a pass, so that a pass over these
+        alone decides the same for them.
+        """
+        until = self._state.clock() + max(self._load_pause(), duration)
+        while True:
+            await asyncio.sleep(max(_MIN_PAUSE, duration))
+            remaining = until - self._state.clock()
+            if remaining <= 0:
+                return
+            urgent = self._state.urgent_pass_requested
+            with contextlib.suppress(TimeoutError, asyncio.TimeoutError):
+                await asyncio.wait_for(urgent.wait(), remaining)
+            if urgent.is_set():
+                self.place_urgent()
 
     def close(self) -> None:
         """Cancel all pending advice requests."""
@@ -104,11 +122,51 @@
 
     def place_all(self) -> None:
         """Run one placement pass."""
+        this_pass = self._start_pass()
+        if this_pass is None:
+            return
+        ranked = [
+            (waiting.rank(this_pass), waiting)
+            for steps in self._waiting_by_job.values()
+            for waiting in steps
+        ]
+        ranked.sort(key=itemgetter(0))
+        for rank, waiting in ranked:
+            self._process_step(rank, waiting, this_pass)
+        self._free_capacity.update(this_pass.accepting)
+        self._free_quarantined.update(this_pass.quarantined)
+        self._reserved = this_pass.workers.reserved
+        self._record_waits(this_pass.reason_by_job, this_pass.now)
+
+    def place_urgent(self) -> None:
+        """Run a pass over the urgent steps that can still be in time.
+
+        They go before all other steps in a pass over all of them too.
+        """
+        this_pass = self._start_pass()
+        if this_pass is None:
+            return
+        ranked = [
+            (waiting.rank(this_pass), waiting)
+            for steps in self._waiting_by_job.values()
+            for waiting in steps
+            if waiting.timing.urgent
+        ]
+        ranked.sort(key=itemgetter(0))
+        for rank, waiting in ranked:
+            if is_urgent(rank):
+                self._process_step(rank, waiting, this_pass)
+        self._free_capacity.lower(this_pass.accepting)
+        self._free_quarantined.lower(this_pass.quarantined)
+
+    def _start_pass(self) -> PlacementPass | None:
+        """Return the state of a new pass; None if the journal is silent."""
+        self._state.urgent_pass_requested.clear()
         self._refresh_waiting()
         now = self._state.clock()
         wall = self._state.wall_clock()
         if self._defer_for_journal(now):
-            return
+            return None
         candidates = [
             tracked
             for tracked in self._state.tracked_by_worker.values()
@@ -126,7 +184,7 @@
         with_more_free = self._free_capacity.with_more_free(
             accepting
         ) + self._free_quarantined.with_more_free(quarantined)
-        this_pass = PlacementPass(
+        return PlacementPass(
             accepting,
             now,
             wall,
@@ -135,18 +193,6 @@
             quarantined,
             self._advice_requester.accepts_request,
         )
-        ranked = [
-            (waiting.rank(this_pass), waiting)
-            for steps in self._waiting_by_job.values()
-            for waiting in steps
-        ]
-        ranked.sort(key=itemgetter(0))
-        for rank, waiting in ranked:
-            self._process_step(rank, waiting, this_pass)
-        self._free_capacity.update(accepting)
-        self._free_quarantined.update(quarantined)
-        self._reserved = this_pass.workers.reserved
-        self._record_waits(this_pass.reason_by_job, now)
 
     def _process_step(
         self,
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -99,6 +99,11 @@
     return (_OVERDUE, since)
 
 
+def is_urgent(rank: Rank) -> bool:
+    """Whether a rank is that of urgent work that can still be in time."""
+    return rank[0] == _URGENT
+
+
 def is_overdue(rank: Rank) -> bool:
     """Whether a rank is that of an overdue step."""
     return rank[0] == _OVERDUE
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -101,6 +101,8 @@
         self.speeds = SpeedEstimator()
         #: Set when tasks may have become placeable.
         self.pass_requested = asyncio.Event()
+        #: Set when urgent tasks may have become placeable.
+        self.urgent_pass_requested = asyncio.Event()
         self.changed_jobs: set[JobId] = set()
         #: Set when the incarnation of a worker has ended.
         self.incarnation_ended = asyncio.Event()
@@ -152,6 +154,12 @@
         self.changed_jobs.add(job.job_id)
         self.pass_requested.set()
 
+    def request_pass(self, job: Job) -> None:
+        """Have a pass run soon, since tasks of a job may be placeable."""
+        self.pass_requested.set()
+        if job.urgent:
+            self.urgent_pass_requested.set()
+
     def observe_job_duration(self, job: Job) -> None:
         """Observe the duration of a job that has ended."""
         duration = self.wall_clock() - job.record.accepted_at
--- a/orchidrail/shard/tests/pass_cell.py
+++ b/orchidrail/shard/tests/pass_cell.py
@@ -162,7 +162,10 @@
                 )
             )()
         self.now += self.random.choice((0.004, 0.004, 0.02, 0.1, 0.6))
-        self.placer.place_all()
+        if self.random.random() < 0.4:
+            self.placer.place_urgent()
+        else:
+            self.placer.place_all()
         self.decisions.append(
             (sorted(self.placer._reserved), dict(self.placer._reason_by_job))
         )
--- a/orchidrail/shard/tests/test_pass_cost.py
+++ b/orchidrail/shard/tests/test_pass_cost.py
@@ -63,3 +63,16 @@
         self.assertEqual(sorted(pauses), pauses)
         self.assertLess(pauses[0], pauses[1])
         self.assertLess(pauses[-1], 0.025)
+
+    def test_an_urgent_pass_leaves_changes_to_the_next_one(self) -> None:
+        """Guards against steps that miss capacity freed before such a pass."""
+        cell = PassCell(1)
+        for _ in range(_FEW):
+            cell.add_plain_job()
+        cell.placer.place_all()
+        started = len(cell.placed)
+        cell.end_run()
+        cell.placer.place_urgent()
+        self.assertEqual(started - 1, len(cell.placed))
+        cell.placer.place_all()
+        self.assertEqual(started, len(cell.placed))
