shard: tests of the placer run in virtual time

test_a_backlog_sends_no_more_requests_than_lanes_can_take failed once under load: it waited for 50 ms of the wall clock. Same waits, same checks. Where one job must rank before another by its time of acceptance, a wait now separates them: the wall clock did it before, by chance of its resolution.

--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import msgspec
 from structlog.testing import capture_logs
@@ -21,7 +21,7 @@
 from orchidrail.shard.tracked_worker import TrackedWorker
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
-from orchidrail.testing import AsyncTestCase
+from orchidrail.testing import TEST_TIMEOUT, AsyncTestCase, ReturnT
 from orchidrail.types import (
     Address,
     Epoch,
@@ -41,6 +41,7 @@
 from orchidrail.workers.run_lease import RunLease
 from orchidrail.workers.session import WorkerSession
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
+from standins.model.loop import run_in_virtual_time
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
 _COST = AdviceCost(0.5, 0.007, 1.5)
@@ -49,6 +50,13 @@
 _MAX_IN_CALL = 100
 #: Tasks of a step that needs more than one call.
 _WIDE = 130
+#: Clocks that start at 0 would hide times that were never set.
+_STARTED_AT: Seconds = 1000
+
+
+def _clock() -> Seconds:
+    """Return the wall clock and the monotonic clock of the shard."""
+    return _STARTED_AT + asyncio.get_running_loop().time()
 
 
 def _make_job(name: str, spec: StepSpec, priority: int, advice: bool) -> Job:
@@ -61,7 +69,7 @@
     record = msgspec.structs.replace(
         job.record,
         queue=queue,
-        accepted_at=time.time(),
+        accepted_at=_clock(),
     )
     return Job(JobId(name), record)
 
@@ -72,12 +80,12 @@
     def __init__(self, writer: JournalWriter) -> None:
         self.state = ShardState(
             writer,
-            time.monotonic,
-            time.time,
+            _clock,
+            _clock,
             InstanceMetrics(),
         )
         self.runs = RunTracker(self.state, self._note_fence, 0)
-        self.dispatcher = AdviceDispatcher(self._call_advice, time.monotonic)
+        self.dispatcher = AdviceDispatcher(self._call_advice, _clock)
         self.placer = Placer(self.state, self.runs, self.dispatcher)
         self.requests: list[tuple[list[WorkerId], asyncio.Future[Advice]]] = []
 
@@ -104,7 +112,7 @@
             self.state.writer.owner.epoch,
             RunLease(6, 0),
             self.runs,
-            time.monotonic,
+            _clock,
             lambda: True,
         )
         tracked = TrackedWorker(session)
@@ -123,6 +131,12 @@
 
 
 class PlacerTest(AsyncTestCase):
+    """Runs in virtual time, so its waits don't depend on the machine's load."""
+
+    def run_async(self, work: Coroutine[Any, Any, ReturnT]) -> ReturnT:
+        """See `AsyncTestCase.run_async`."""
+        return run_in_virtual_time(asyncio.wait_for(work, TEST_TIMEOUT))
+
     def run_scenario(
         self, scenario: Callable[[_Scenario], Awaitable[None]]
     ) -> None:
@@ -130,7 +144,7 @@
 
         async def run() -> None:
             view = JournalView(MemoryStore(), Topic('journal'))
-            writer = await take_over(view, _ME, time.monotonic, Epoch(0))
+            writer = await take_over(view, _ME, _clock, Epoch(0))
             setting = _Scenario(writer)
             tasks = [
                 asyncio.create_task(work)
@@ -365,7 +379,7 @@
             work = WaitingWork([step], frozenset(), reason_by_job)
             with capture_logs() as lines:
                 waits.report(work)
-                shard.state.clock = lambda: time.monotonic() + 3
+                shard.state.clock = lambda: _clock() + 3
                 for _ in range(2):
                     waits.report(work)
             logged = [line for line in lines if line['event'] == 'tasks wait']
@@ -393,7 +407,7 @@
             shard.add(job)
             await asyncio.sleep(_SOON)
             waits = LongWaitReporter(shard.state)
-            shard.state.clock = lambda: time.monotonic() + 3
+            shard.state.clock = lambda: _clock() + 3
             waits.report(WaitingWork(job.steps(0), frozenset(), {}))
             shard.state.job_by_id.pop(job.job_id)
             waits.report(WaitingWork([], frozenset(), {}))
@@ -438,7 +452,7 @@
             shard.add(late)
             await asyncio.sleep(_SOON)
             step = late.steps(0)[0]
-            step.tasks[0].waiting_since = time.monotonic() - 3
+            step.tasks[0].waiting_since = _clock() - 3
             await asyncio.sleep(4 * _SOON)
             self.assertEqual(1, step.permits.calls_in_flight)
 
@@ -484,7 +498,7 @@
             other = (shard.state.tracked_by_worker.keys() - {full_worker}).pop()
             blocked.steps(0)[0].failed_workers.note_failure(
                 other,
-                time.monotonic(),
+                _clock(),
             )
             shard.add(blocked)
             await asyncio.sleep(_SOON)
@@ -534,9 +548,7 @@
             store.fault = None
             await asyncio.sleep(0.4)
             self.assertIs(TaskPhase.PLACED, task.phase)
-            self.assertIn(
-                'journal', waiting.wait_times.describe(time.monotonic())
-            )
+            self.assertIn('journal', waiting.wait_times.describe(_clock()))
 
         self.run_scenario(scenario)
 
@@ -583,7 +595,7 @@
 
         async def scenario(shard: _Scenario) -> None:
             await shard.add_worker('w-1')
-            timed = make_timed_job('a' * 16, time.time() + _SOON, 100)
+            timed = make_timed_job('a' * 16, _clock() + _SOON, 100)
             shard.add(timed)
             changing = asyncio.create_task(keep_changing(shard))
             await asyncio.sleep(3 * _SOON)
@@ -598,19 +610,17 @@
             await shard.add_worker('w-1')
             shard.dispatcher.set_advice_lanes([InstanceId('lane')])
             asking = _make_job('a' * 16, StepSpec(1, Size(1, 1)), 1, True)
-            shard.add(asking)
+            # It is ranked first, as it is accepted earlier.
+            await asyncio.sleep(_SOON)
             full = StepSpec(2, Size(64_000, 1))
             full_step_job = _make_job('b' * 16, full, 1, advice=False)
+            shard.add(asking)
             shard.add(full_step_job)
             await asyncio.sleep(_SOON)
             await shard.answer(0, valid=1.5)
             shard.placer.place_all()
             shard.placer.place_all()
-            self.assertIn(
-                'advice', asking.wait_times.describe(time.monotonic())
-            )
-            self.assertIn(
-                'room', full_step_job.wait_times.describe(time.monotonic())
-            )
+            self.assertIn('advice', asking.wait_times.describe(_clock()))
+            self.assertIn('room', full_step_job.wait_times.describe(_clock()))
 
         self.run_scenario(scenario)
