--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -54,6 +54,7 @@
         f'{outcome.gang_failures} failed runs of gangs, '
         f'idle for {outcome.longest_idle:.1f} s at the most, '
         f'{outcome.evacuations} evacuations, '
+        f'{outcome.pauses} pauses of the soak itself, '
         f'{len(outcome.violations)} broken'
     )
     return '\n    '.join([text, *outcome.violations[:5]])
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -228,11 +228,23 @@
                 *((key, False) for key in revoked),
                 (self._operator.key_of('small'), True),
             ):
-                status = await self._call('GET', job, key=key, address=address)
+                status = await self._answer_to(job, key, address)
                 if (status == 401) is served:
                     detail = f'{key} got {status} at {address}'
                     self._ledger.report_violation('CONFIG', detail)
 
+    async def _answer_to(self, job: SentJob, key: str, address: str) -> int:
+        """Return the status of a call, 0 only if no try gets a response.
+
+        An instance whose process stands still on a busy machine applies the
+        configuration, but responds later.
+        """
+        for _ in range(_MAX_TRIES):
+            status = await self._call('GET', job, key=key, address=address)
+            if status != 0:
+                break
+        return status
+
     async def submit(self, job: SentJob) -> None:
         """Submit a job, with a limited number of tries."""
         body = {'spec': job.text, 'phases': job.steps}
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -25,6 +25,9 @@
 CANCEL_TIMEOUT = 3.0
 #: Seconds for which a fault may have effects after its end.
 FAULT_AFTERMATH_SECONDS = 4.0
+#: Seconds for which the process of the soak may stand still before that counts
+#: as a fault: its store and all its workers do not respond meanwhile.
+MAX_PAUSE_SECONDS = 0.5
 
 
 class Failing(Enum):
@@ -159,6 +162,10 @@
         #: Time of the monotonic clock since which no fault is active.
         self.fault_free_since: float | None = None
         self._crashed_at = -math.inf
+        self._seen_running_at = math.inf
+        self._paused_until = -math.inf
+        #: Pauses that counted as faults.
+        self.pauses = 0
         self.limits: Limits | None = None
 
     def report_violation(self, rule: str, detail: str) -> None:
@@ -166,11 +173,23 @@
         at = time.monotonic() - self.started_at
         self.violations.append(f'{rule} at {at:.2f} s: {detail}')
 
+    def note_running(self, now: float) -> None:
+        """Record that the process of the soak runs; to be called often.
+
+        While it stands still, as the machine is busy, no instance reaches the
+        store or a worker.
+        """
+        if now - self._seen_running_at > MAX_PAUSE_SECONDS:
+            self._paused_until = now
+            self.pauses += 1
+        self._seen_running_at = now
+
     def is_fault_free(self, now: float) -> bool:
         """Whether no fault is active, or was shortly before."""
-        return self.fault_free_since is not None and (
-            now - self.fault_free_since >= FAULT_AFTERMATH_SECONDS
-        )
+        if self.fault_free_since is None:
+            return False
+        last_fault = max(self.fault_free_since, self._paused_until)
+        return now - last_fault >= FAULT_AFTERMATH_SECONDS
 
     def is_undisturbed(self, now: float) -> bool:
         """Whether it is fault-free and no job crashed a worker recently."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -87,6 +87,8 @@
     longest_idle: float
     #: Evacuations of zones.
     evacuations: int
+    #: Pauses of the soak's process that counted as faults.
+    pauses: int
 
 
 class Soak:
@@ -270,6 +272,7 @@
     async def _watch(self) -> None:
         while True:
             now = time.monotonic()
+            self.ledger.note_running(now)
             self._lasting_watch.check(now)
             self._starvation_watch.check(now)
             await asyncio.sleep(_WATCH_INTERVAL)
@@ -305,6 +308,7 @@
             self.ledger.count_failures([job for job in jobs if job.gang]),
             self._starvation_watch.timer.longest,
             self._evacuations.count,
+            self.ledger.pauses,
         )
 
     async def _revoke_keys(self, callers: Callers) -> None:
--- a/soak/tests/test_starvation.py
+++ b/soak/tests/test_starvation.py
@@ -170,6 +170,30 @@
         self.check_until(_ACCEPTED_AT + 20)
         self.assert_reported(1)
 
+    def check_beside_a_pause(self, pause: float) -> None:
+        """Check until the wait is overdue; the soak pauses after 1 s."""
+        for tenths in range(33):
+            now = _ACCEPTED_AT + tenths / 10 + (pause if tenths > 9 else 0)
+            self.ledger.note_running(now)
+            self.watch.check(now)
+
+    def test_wait_for_a_paused_store_does_not_count(self) -> None:
+        """Guards against waits that the soak causes by itself.
+
+        Its store and its workers do not respond while its process stands still.
+        """
+        self.check_beside_a_pause(2.4)
+        self.assert_reported(0)
+        self.assertEqual(1, self.ledger.pauses)
+        # The wait counts from the end of the aftermath.
+        resumed_at = _ACCEPTED_AT + 0.9 + 2.4
+        self.check_until(resumed_at + 7.5, _OVERDUE_AT + 2.4)
+        self.assert_reported(1)
+
+    def test_short_pause_is_no_fault(self) -> None:
+        self.check_beside_a_pause(0.3)
+        self.assert_reported(1)
+
     def test_wait_near_a_crash_does_not_count(self) -> None:
         self.ledger._crashed_at = _ACCEPTED_AT - 3
         self.check_until(_ACCEPTED_AT + 3.9)
