--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -236,6 +236,8 @@
             self.metrics,
             self.config.services,
             self.config.find_tenant,
+            self.settings.bounds.restore_takes,
+            self.settings.preemption,
         )
 
     def _check_connections_soon(self) -> None:
--- a/orchidrail/instance/settings.py
+++ b/orchidrail/instance/settings.py
@@ -20,6 +20,8 @@
         Time for which the state of an ended job must be available.
     stop_takes : float
         Time after which a run that was told to stop has ended.
+    restore_takes : float
+        Longest time that a run takes to resume from its checkpoint.
     strict_revocation : bool
         Whether calls are rejected once the store has not confirmed the
         configuration for `revocation`.
@@ -31,6 +33,7 @@
     grace: Seconds = 6
     status_kept: Seconds = 120
     stop_takes: Seconds = 1
+    restore_takes: Seconds = 0.6
     strict_revocation: bool = False
     revocation: Seconds = 5
 
@@ -50,3 +53,5 @@
     #: Processor capacity of the instance, cores.
     speed: float = 1
     bounds: Bounds = Bounds()
+    #: Whether runs may be stopped for more urgent work.
+    preemption: bool = True
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -215,6 +215,17 @@
             'runs_not_listed',
             'Runs taken for gone since their worker listed no end of them.',
         )
+        self.preempted_runs = self._counter(
+            'preempted_runs',
+            'Runs stopped for more urgent work, by their queue.',
+            _QUEUE,
+        )
+        self.preemption_loss = self._counter(
+            'preemption_lost_core_seconds',
+            'Estimated core-seconds lost by stops for more urgent work, by '
+            'the queue of the stopped runs.',
+            _QUEUE,
+        )
         self.task_crashes = self._counter(
             'task_crashes',
             'Runs under which a worker ended, by queue and what became of '
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -42,6 +42,7 @@
     'gracePeriodS': ('grace', 1),
     'status_s': ('status_kept', 1),
     'stop_ms': ('stop_takes', _MILLIS),
+    'restore_ms': ('restore_takes', _MILLIS),
     'revocationMs': ('revocation', _MILLIS),
 }
 _STRICT_REVOCATION_KEY = 'bounds.strictRevocation'
@@ -204,6 +205,7 @@
         advice=Address(value_by_key.get('advice', '')),
         speed=_speed(value_by_key),
         bounds=_bounds(value_by_key),
+        preemption=value_by_key.get('preemption', 'on') != 'off',
     )
 
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -13,6 +13,8 @@
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
+from orchidrail.preemption.candidates import StopCost
+from orchidrail.preemption.preemptor import Preemptor
 from orchidrail.shard.admission import (
     AdmissionControl,
     Rejection,
@@ -88,6 +90,10 @@
     services: Callable[[], Collection[ServiceName] | None] = _services_unknown
     #: Returns a tenant of the current configuration.
     find_tenant: FindTenant = find_no_tenant
+    #: Longest time that a run takes to resume from a checkpoint.
+    restore_takes: Seconds = 0
+    #: Whether runs may be stopped for more urgent work.
+    preemption: bool = True
 
 
 class ShardOwner:
@@ -119,7 +125,17 @@
             ports.stop_takes,
         )
         self.dispatcher = AdviceDispatcher(ports.ask, ports.clock)
-        self.placer = Placer(self.state, self.runs, self.dispatcher)
+        self.placer = Placer(
+            self.state,
+            self.runs,
+            self.dispatcher,
+            Preemptor(
+                self.state,
+                self.runs,
+                StopCost(ports.stop_takes, ports.restore_takes),
+                enabled=ports.preemption,
+            ),
+        )
         has_predecessor = writer.owner.epoch > 1
         prior_leases_until = (
             prior_leases_end(now, ports.longest_lease) if has_predecessor else 0
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import contextlib
 from operator import itemgetter
 
+from orchidrail.preemption.preemptor import Preemptor
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher
 from orchidrail.shard.advice_requester import TICKET_MARGIN, AdviceRequester
 from orchidrail.shard.due_times import DueTimes
@@ -16,7 +18,7 @@
     PlacementPass,
     WaitingStep,
 )
-from orchidrail.shard.ranking import Rank, step_timing
+from orchidrail.shard.ranking import FIRST_NOT_URGENT, Rank, step_timing
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import TrackedWorker
@@ -44,6 +46,8 @@
     state : ShardState
     runs : RunTracker
     dispatcher : AdviceDispatcher
+    preemptor : Preemptor, optional
+        None if no run is ever stopped for another.
     """
 
     def __init__(
@@ -51,12 +55,14 @@
         state: ShardState,
         runs: RunTracker,
         dispatcher: AdviceDispatcher,
+        preemptor: Preemptor | None = None,
     ) -> None:
         """Create a placer without waiting steps."""
         self._state = state
         self._runs = runs
         self._dispatcher = dispatcher
         self._advice_requester = AdviceRequester(state, runs, dispatcher)
+        self._preemptor = preemptor
         self._headroom = Headroom()
         #: Steps with startable tasks, of all open jobs.
         self._waiting_by_job: dict[JobId, list[WaitingStep]] = {}
@@ -121,7 +127,17 @@
             for waiting in steps
         ]
         ranked.sort(key=itemgetter(0))
-        for rank, waiting in ranked:
+        urgent_count = bisect.bisect_left(
+            ranked, FIRST_NOT_URGENT, key=itemgetter(0)
+        )
+        for rank, waiting in ranked[:urgent_count]:
+            self._process_step(rank, waiting, this_pass)
+        if self._preemptor is not None:
+            # What stops free for urgent work is not for any other.
+            this_pass.workers.reserve(
+                self._preemptor.reserved_workers(this_pass)
+            )
+        for rank, waiting in ranked[urgent_count:]:
             self._process_step(rank, waiting, this_pass)
         self._free_capacity.update(accepting)
         self._reserved = this_pass.workers.reserved
@@ -144,6 +160,8 @@
             placed = self._place_step(rank, waiting, allowed, this_pass)
             if not placed:
                 waiting.mark_blocked(this_pass)
+        if placed < len(allowed) and self._preemptor is not None:
+            self._preemptor.consider(waiting, len(allowed) - placed, this_pass)
         if placed < len(waiting.tasks):
             reason = _wait_reason(step, this_pass)
             if len(allowed) < len(in_limit):
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -12,6 +12,8 @@
 Rank = tuple[float, ...]
 
 _URGENT, _OVERDUE, _OTHER, _OVER_SHARE = range(4)
+#: Lower bound of the ranks of all steps but the urgent ones in time.
+FIRST_NOT_URGENT: Rank = (_OVERDUE,)
 #: A step with less slack than this before its latest start may use the
 #: headroom.
 _MIN_SLACK: Seconds = 2.0
--- /dev/null
+++ b/orchidrail/sharing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- a/orchidrail/work/step.py
+++ b/orchidrail/work/step.py
@@ -29,6 +29,7 @@
         'first_open_run',
         'index',
         'phase',
+        'preemptions',
         'processed_runs',
         'run',
         'step',
@@ -49,6 +50,8 @@
         #: Workers that crashed while running it, and the resulting suspicion.
         self.crashes = 0
         self.suspicion = 0
+        #: How often the current owner stopped it for more urgent work.
+        self.preemptions = 0
         #: Runs whose ends have been processed, or that were abandoned.
         self.processed_runs: set[RunNumber] = set()
         #: Since when it has been ready, on the monotonic clock of the owner.
