--- a/orchidrail/preemption/candidates.py
+++ b/orchidrail/preemption/candidates.py
@@ -28,6 +28,8 @@
 #: Time for which a task has to work before it may be stopped (again). It bounds
 #: the part of its time that a task spends on stops and resumptions.
 _MIN_WORK: Seconds = 1.0
+#: Factor by which the remaining work may exceed its estimate.
+_MAX_ESTIMATE_ERROR = 1.5
 _MILLI = 1000
 
 
@@ -100,6 +102,7 @@
             priority=task.step.job.queue.priority,
             standing=self._standing_of(task),
             time_left=time_left,
+            late=moment.wall > _deadline_of(task.step),
             slack=_job_slack(task.step, time_left, moment.wall),
             loss=self._loss(run, task, moment.now),
         )
@@ -175,11 +178,14 @@
     return worked >= _MIN_WORK and task.preemptions < MAX_STOPS
 
 
+def _deadline_of(step: StepState) -> Seconds:
+    return round_deadline(step.job, step.round_number)
+
+
 def _job_slack(step: StepState, time_left: Seconds, wall: Seconds) -> Seconds:
     """Return by how much a running step may be delayed without being late."""
-    job = step.job
-    rest = _longest_after(job.spec, step.number)
-    return round_deadline(job, step.round_number) - wall - time_left - rest
+    rest = time_left + _longest_after(step.job.spec, step.number)
+    return _deadline_of(step) - wall - _MAX_ESTIMATE_ERROR * rest
 
 
 def _longest_after(spec: JobSpec, number: int) -> Seconds:
--- a/orchidrail/preemption/policy.py
+++ b/orchidrail/preemption/policy.py
@@ -15,6 +15,10 @@
 #: run time of the urgent work: other work that became ready before may start
 #: first.
 _REQUEUE_WAIT: Seconds = 1.0
+#: A stop is ordered at most this long before the last moment at which it still
+#: helps. Until then capacity may become free by itself: expected ends are based
+#: on estimates. Two surveys fit within it.
+_DECISION_WINDOW: Seconds = 0.15
 #: A stop may not lose more than this multiple of the core-seconds that it
 #: gains for urgent work. A stopped task loses a fixed time for the stop and the
 #: resumption, so short urgent tasks need a multiple above one.
@@ -57,6 +61,14 @@
     return latest_start - wall - start_delay
 
 
+def is_due(need: Need, stop_duration: Seconds) -> bool:
+    """Whether it is time to decide on stops for urgent work.
+
+    Later the freed capacity comes too late, before it may not be needed.
+    """
+    return 0 <= need.slack - stop_duration <= _DECISION_WINDOW
+
+
 def may_stop(
     need: Need,
     candidate: Candidate,
@@ -73,7 +85,7 @@
     if candidate.time_left <= max(need.slack, stop_duration):
         return False
     delay = stop_duration + need.duration + resume_duration + _REQUEUE_WAIT
-    return candidate.slack < 0 or candidate.slack >= delay
+    return candidate.late or candidate.slack >= delay
 
 
 def is_worthwhile(need: Need, loss: float, slots: int) -> bool:
--- a/orchidrail/preemption/preemptor.py
+++ b/orchidrail/preemption/preemptor.py
@@ -8,10 +8,12 @@
 
 import structlog
 
+from orchidrail.journal.writer import CONFIRM_INTERVAL
 from orchidrail.preemption.budget import LossBudget
 from orchidrail.preemption.candidates import CandidateFinder, Moment, StopCost
 from orchidrail.preemption.policy import (
     Need,
+    is_due,
     is_worthwhile,
     may_stop,
     start_slack,
@@ -151,7 +153,7 @@
         if survey is None or not survey.steps_left:
             return
         need = self._need(waiting, this_pass)
-        if need.slack < self._cost.stop:
+        if not is_due(need, self._cost.stop):
             return
         survey.steps_left -= 1
         step = waiting.step
@@ -178,8 +180,10 @@
     def _need(self, waiting: WaitingStep, this_pass: PlacementPass) -> Need:
         step = waiting.step
         advice = step.job.queue.advice
-        # A start waits for the journal, and possibly for a renewed ticket.
-        start_delay = self._state.writer.time_since_confirmed()
+        # A start waits for the journal, and possibly for a renewed ticket. An
+        # idle journal confirms itself at intervals.
+        unconfirmed = self._state.writer.time_since_confirmed()
+        start_delay = max(0, unconfirmed - CONFIRM_INTERVAL)
         if advice is not None:
             start_delay += advice.duration(1)
         spec = step.spec
@@ -327,6 +331,7 @@
             lost=round(victim.loss, 3),
             time_left=round(victim.time_left, 3),
             slack=round(victim.slack, 3),
+            late=victim.late,
             standing=victim.standing.name.lower(),
         )
 
--- a/orchidrail/preemption/victims.py
+++ b/orchidrail/preemption/victims.py
@@ -32,9 +32,10 @@
         Standing of its tenant.
     time_left : float
         Seconds until it is expected to end by itself.
+    late : bool
+        Whether its objective has passed.
     slack : float
-        Seconds by which it may be delayed and still meet its objective;
-        negative if it misses it anyway.
+        Seconds by which it may be delayed and still meet its objective.
     loss : float
         Core-seconds that have to be repeated, or pass without progress.
     """
@@ -44,6 +45,7 @@
     priority: int
     standing: Standing
     time_left: Seconds
+    late: bool
     slack: Seconds
     loss: float
 
@@ -51,10 +53,10 @@
     def cost(self) -> tuple[int, float]:
         """Sort key, the cheapest first.
 
-        Work that is late anyway and work over its tenant's share give way
+        Work that is late already and work over its tenant's share give way
         first, then what loses least.
         """
-        gives_way = self.slack < 0 or self.standing is Standing.OVER_SHARE
+        gives_way = self.late or self.standing is Standing.OVER_SHARE
         return (0 if gives_way else 1), self.loss
 
 
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -195,9 +195,11 @@
                 wall_clock=_wall_clock,
                 store_unreachable=bool,
                 longest_lease=6,
-                stop_takes=0,
+                stop_takes=self._load.stop_takes,
                 status_kept=_STATUS_KEPT,
                 metrics=InstanceMetrics(),
+                restore_takes=self._load.restore_takes,
+                preemption=self._load.preemption,
                 find_tenant=self._find_tenant,
             ),
         )
--- a/standins/model/load.py
+++ b/standins/model/load.py
@@ -109,6 +109,8 @@
         Accelerators of one task, drawn for each step; empty for none.
     hopeless : float
         Share of jobs whose runs always fail.
+    saves : float
+        Share of steps whose tasks keep checkpoints.
     """
 
     name: str
@@ -138,6 +140,7 @@
     fills: float = 0
     accelerators: list[int] = []
     hopeless: float = 0
+    saves: float = 0
 
     @property
     def settings(self) -> QueueSettings:
@@ -235,6 +238,11 @@
         Tenants that the jobs belong to; empty for a day without tenants.
     accelerators : int
         Accelerators of each worker.
+    stop_takes, restore_takes : float
+        Longest time that a stop takes, and the time that a run takes to resume
+        from its checkpoint, seconds.
+    preemption : bool
+        Whether runs may be stopped for more urgent work.
     """
 
     queues: list[QueueLoad]
@@ -259,6 +267,9 @@
     hot_spells: list[HotSpell] = []
     limit_changes: list[LimitChange] = []
     accelerators: int = 0
+    stop_takes: Seconds = 0
+    restore_takes: Seconds = 0
+    preemption: bool = True
 
 
 class DrawnJob(NamedTuple):
@@ -437,6 +448,8 @@
         target=_TARGET if queue.serves else 0,
         # Draws nothing if unused, so days without it keep their draws.
         best_effort=bool(queue.fills) and random.random() < queue.fills,
+        # Draws nothing if unused, so days without it keep their draws.
+        keeps_checkpoint=bool(queue.saves) and random.random() < queue.saves,
     )
     spread = 0 if step.gang else queue.work.spread / 2
     return step, [Draw(mean, spread).draw(random) for _ in range(tasks)]
--- a/standins/model/worker.py
+++ b/standins/model/worker.py
@@ -35,6 +35,9 @@
         How it ends by itself.
     crashes_after : float
         Seconds of work until it crashes its worker; infinite if it does not.
+    saved : float
+        Seconds of work done by earlier runs, which `duration` does not
+        include.
     """
 
     def __init__(
@@ -43,12 +46,16 @@
         duration: Seconds,
         ending: RunEnding,
         crashes_after: Seconds = math.inf,
+        saved: Seconds = 0,
     ) -> None:
         """Create a run that has not begun; its worker begins and ends it."""
         self.key = key
         self.duration = duration
         self.ending = ending
         self.crashes_after = crashes_after
+        self.saved = saved
+        #: Whether a stop is under way.
+        self.stopping = False
         #: Time at which it began to work; infinite before.
         self.started_at: Seconds = math.inf
         self.timer: asyncio.TimerHandle | None = None
@@ -67,9 +74,17 @@
             return 0
         if math.isinf(self.duration):
             return _ALL_PERCENT
-        return min(
-            _ALL_PERCENT, _ALL_PERCENT * (now - self.started_at) / self.duration
-        )
+        done = self.work_done(now)
+        return min(_ALL_PERCENT, _ALL_PERCENT * done / self.total)
+
+    @property
+    def total(self) -> Seconds:
+        """Seconds of work of this run and the earlier ones."""
+        return self.saved + self.duration
+
+    def work_done(self, now: Seconds) -> Seconds:
+        """Return the seconds of work done by this run and earlier ones."""
+        return self.saved + max(0, now - self.started_at)
 
 
 class ModelWorker:
@@ -126,7 +141,7 @@
         self.changed.set()
         return lost
 
-    def end(self, key: RunKey, ending: RunEnding) -> bool:
+    def end(self, key: RunKey, ending: RunEnding, checkpoint: str = '') -> bool:
         """End a run and list its end; return whether it was running."""
         run = self.run_by_key.pop(key, None)
         if run is None:
@@ -134,7 +149,7 @@
         run.cancel()
         self.reject(key)
         self._number += 1
-        self.ended.append(EndedRun(self._number, key, ending, ''))
+        self.ended.append(EndedRun(self._number, key, ending, checkpoint))
         self.changed.set()
         return True
 
