--- a/orchidrail/preemption/tests/scenario.py
+++ b/orchidrail/preemption/tests/scenario.py
@@ -104,7 +104,7 @@
 def urgent_job(
     name: str = 'f',
     cores: int = 40,
-    spare: Seconds = 2,
+    spare: Seconds = 1.5,
     **options: object,
 ) -> Job:
     """Return an urgent job that has to start within `spare` seconds."""
