--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -9,7 +9,7 @@
 import msgspec
 
 #: Fields of a log line that may refer to a job, its steps or its tasks.
-_JOB_REFERENCE_FIELDS = ('job', 'task', 'step', 'jobs', 'tasks')
+_JOB_REFERENCE_FIELDS = ('job', 'task', 'step', 'jobs', 'tasks', 'preemptor')
 #: Events that may affect any job that is open at the time.
 _CONTEXT_EVENTS = frozenset(
     (
--- a/orchidrail/deciding/preemption.py
+++ b/orchidrail/deciding/preemption.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from orchidrail.resources import NOTHING, Resources
+from orchidrail.preemption import choose_victims
+from orchidrail.resources import Resources
 from orchidrail.types import Seconds, TaskId, WorkerId
 
 if TYPE_CHECKING:
@@ -84,13 +85,7 @@
 ) -> VictimPlan | None:
     preemptible = [victim for victim in victims if victim.priority < priority]
     preemptible.sort(key=lambda victim: (victim.priority, victim.lost))
-    freed = NOTHING
-    chosen: list[Victim] = []
-    for victim in preemptible:
-        if size.fits(place.ledger.free + freed):
-            break
-        chosen.append(victim)
-        freed = freed + victim.size
-    if chosen and size.fits(place.ledger.free + freed):
-        return VictimPlan(place.worker, tuple(chosen))
-    return None
+    chosen = choose_victims(
+        size, place.ledger.free, preemptible, lambda victim: victim.size
+    )
+    return VictimPlan(place.worker, tuple(chosen)) if chosen else None
