--- a/orchidrail/preemption/preemptor.py
+++ b/orchidrail/preemption/preemptor.py
@@ -253,7 +253,7 @@
         """Stop runs on some of the workers for `missing` tasks of a step."""
         moment = Moment(this_pass.now, this_pass.wall)
         possible = [
-            self._plan(waiting.step, tracked, need, moment)
+            self._plan(waiting.step, missing, tracked, need, moment)
             for tracked in workers
         ]
         plans = [
@@ -282,6 +282,7 @@
     def _plan(
         self,
         step: StepState,
+        missing: int,
         tracked: TrackedWorker,
         need: Need,
         moment: Moment,
@@ -299,7 +300,7 @@
             step.spec.charged,
             tracked.free - claimed,
             candidates,
-            _copies_left(step, tracked),
+            min(missing, _copies_left(step, tracked)),
         )
 
     def _execute(self, plan: VictimPlan, waiting: WaitingStep) -> None:
--- a/orchidrail/preemption/tests/test_preemptor.py
+++ b/orchidrail/preemption/tests/test_preemptor.py
@@ -200,6 +200,29 @@
 
         self.run_scenario(scenario)
 
+    def test_room_that_is_not_needed_does_not_pay_for_a_stop(self) -> None:
+        """Guards against a wide stop for one task of a step of many.
+
+        The stop made room for all tasks of the step, of which one was missing.
+        """
+
+        async def scenario(shard: Scenario) -> None:
+            await shard.add_worker()
+            running = long_job(cores=60)
+            urgent = urgent_job(cores=4, count=8, estimate=0.5)
+            await shard.run_long(running)
+            for task in urgent.steps(0)[0].tasks[1:]:
+                task.phase = TaskPhase.DONE
+            # One task fits beside the long one: 4 cores are free.
+            other = urgent_job('g', cores=4, estimate=5)
+            await shard.add(other)
+            await shard.add(urgent)
+            await shard.wait_until_due(urgent)
+            self.assertTrue(is_placed(other))
+            self.assertEqual([], shard.stopped())
+
+        self.run_scenario(scenario)
+
     def test_a_gang_that_is_not_complete_is_left_alone(self) -> None:
         async def scenario(shard: Scenario) -> None:
             await shard.add_worker()
