--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -252,6 +252,8 @@
             self.config.services,
             self.config.find_tenant,
             self.evacuation.gate,
+            self.settings.bounds.restore_takes,
+            self.settings.preemption,
         )
 
     def _check_connections_soon(self) -> None:
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -44,6 +44,7 @@
     'gracePeriodS': ('grace', 1),
     'status_s': ('status_kept', 1),
     'stop_ms': ('stop_takes', _MILLIS),
+    'restore_ms': ('restore_takes', _MILLIS),
     'revocationMs': ('revocation', _MILLIS),
     'evacuationMs': ('evacuation', _MILLIS),
 }
@@ -209,6 +210,7 @@
         speed=_speed(value_by_key),
         link=_link(value_by_key),
         bounds=_bounds(value_by_key),
+        preemption=value_by_key.get('preemption', 'on') != 'off',
     )
 
 
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -15,6 +15,8 @@
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
+from orchidrail.preemption.candidates import StopCost
+from orchidrail.preemption.preemptor import Preemptor
 from orchidrail.shard.admission import (
     AdmissionControl,
     Rejection,
@@ -97,6 +99,10 @@
     find_tenant: FindTenant = find_no_tenant
     #: Keeps starts out of evacuated zones; None if no zone is evacuated.
     zone_gate: ZoneGate | None = None
+    #: Longest time that a run takes to resume from a checkpoint.
+    restore_takes: Seconds = 0
+    #: Whether runs may be stopped for more urgent work.
+    preemption: bool = True
 
 
 class ShardOwner:
@@ -131,7 +137,17 @@
             ports.stop_takes,
         )
         self.dispatcher = AdviceDispatcher(ports.ask, ports.clock)
-        self.placer = Placer(self.state, self.runs, self.dispatcher)
+        self.placer = Placer(
+            self.state,
+            self.runs,
+            self.dispatcher,
+            Preemptor(
+                self.state,
+                self.runs,
+                StopCost(ports.stop_takes, ports.restore_takes),
+                enabled=ports.preemption,
+            ),
+        )
         has_predecessor = writer.owner.epoch > 1
         prior_leases_until = (
             prior_leases_end(now, ports.longest_lease) if has_predecessor else 0
