--- a/orchidrail/journal/appending.py
+++ b/orchidrail/journal/appending.py
@@ -78,6 +78,12 @@
     if isinstance(page, Trimmed):
         return AppendStatus.CONFLICT
     if isinstance(page, Unavailable) or not page.records:
+        _log.info(
+            'append unanswered',
+            at=expected,
+            records=len(records),
+            size=sum(len(record.value) for record in records),
+        )
         return AppendStatus.UNKNOWN
     found = page.records[: len(records)]
     end = Offset(expected + len(page.records))
