soak: a worker's lease that is over ends its runs and voids unacknowledged ends

The stand-in served orders that had waited while its process stood still before its next tick, so that they extended a lease that was over. An end that is acknowledged before its lease lapses binds as before.

--- a/soak/tests/test_workers.py
+++ b/soak/tests/test_workers.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import time
 from typing import Any
 
+from blacksheep import JSONContent, Request
 from testtools import TestCase
 
 from soak.advice import AdviceStandIn, make_ticket
 from soak.gangs import Gangs
 from soak.ledger import Failing, Ledger, SentJob
 from soak.store import StoreStandIn
-from soak.workers import WorkerStandIn
+from soak.workers import _EXPECTED_INSTANCE_HEADER, WorkerStandIn
 
 _JOB = 'a' * 16
 _RUNS = 400
@@ -134,6 +137,63 @@
         counts = [worker.capacity.accelerators for worker in workers]
         self.assertEqual([4, 4, 4, 0, 4, 4, 4, 0], counts)
 
+    def let_lease_lapse(self) -> None:
+        self.worker._lease_ends = time.monotonic() - 1
+
+    def hold(self, last_seen: int) -> list[list[Any]]:
+        """Acknowledge ends, extend the lease and return the active runs."""
+        order = {
+            'fencingToken': 1,
+            'lastSeen': last_seen,
+            'deadlineMs': self.worker._clock_ms() + 1000,
+        }
+        request = Request('POST', b'/hold', None)
+        request.add_header(_EXPECTED_INSTANCE_HEADER, self.worker.name.encode())
+        body = JSONContent(order)
+        response = asyncio.run(self.worker.serve(request.with_content(body)))
+        assert response.content is not None
+        active: list[list[Any]] = json.loads(response.content.body)['active']
+        return active
+
+    def start_again(self) -> None:
+        self.ledger.record_start(f'{_JOB}.0.0.0', 'text', 'w-2')
+
+    def test_acknowledged_end_must_not_be_followed_by_a_start(self) -> None:
+        self.start({})
+        self.advance_far()
+        self.hold(1)
+        self.let_lease_lapse()
+        self.hold(1)
+        self.start_again()
+        self.assertIn('TWICE', self.ledger.violations[0])
+
+    def test_end_acknowledged_after_the_lease_lapsed_has_no_effect(
+        self,
+    ) -> None:
+        """Guards against a false alarm after a worker was not reached.
+
+        An owner that does not hear of an end while the lease lapses may start
+        the task elsewhere. It acknowledges the end when it reaches the worker.
+        """
+        self.start({})
+        self.advance_far()
+        self.let_lease_lapse()
+        self.hold(0)
+        self.hold(1)
+        self.start_again()
+        self.assertEqual([], self.ledger.violations)
+
+    def test_order_does_not_extend_a_lease_that_is_over(self) -> None:
+        """Guards against runs that outlive their lease.
+
+        An order that arrived while the soak's process stood still is served
+        before the runs advance.
+        """
+        self.start({'estimatedMs': 60_000})
+        self.let_lease_lapse()
+        self.assertEqual([], self.hold(0))
+        self.assertEqual('lapsed', self.worker._ended[0][3])
+
     def order(self, ticket: str) -> int:
         """Request a start with a ticket; return the status."""
         deadline = self.worker._clock_ms() + 1000
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -162,6 +162,9 @@
         self._newest_ended: dict[str, int] = {}
         self._ended: list[list[Any]] = []
         self._ended_numbers = itertools.count(1)
+        #: Number of the last end before the lease lapsed. An acknowledgement of
+        #: an earlier one has no effect: the task may have been started again.
+        self._last_before_lapse = 0
         self._lease_ends = 0.0
         self._broken_until = 0.0
         self._run_ended = asyncio.Event()
@@ -294,6 +297,9 @@
                 409, {'clockMs': self._clock_ms(), 'reason': 'fence'}
             )
         self._fence = order.get('fencingToken', 0)
+        # An order may be served before the next tick; it must not extend a
+        # lease that is over.
+        self._check_lease(time.monotonic())
         path = request.url.path.decode()
         if path == '/run-start':
             return self._start(order)
@@ -393,7 +399,8 @@
 
     async def _poll(self, order: dict[str, Any]) -> Response:
         for number, task, run, ending, _ in self._ended:
-            if number <= order.get('lastSeen', 0):
+            noted = number > self._last_before_lapse
+            if noted and number <= order.get('lastSeen', 0):
                 self._ledger.record_acknowledgement(
                     task, run, self.name, ending
                 )
@@ -427,10 +434,17 @@
         latest_end = time.monotonic() + _MAX_LEASE_SECONDS
         self._lease_ends = max(self._lease_ends, min(requested_end, latest_end))
 
+    def _check_lease(self, now: float) -> None:
+        """Apply the end of the lease, if it is over."""
+        if now <= self._lease_ends:
+            return
+        if self._ended:
+            self._last_before_lapse = self._ended[-1][0]
+        for key, run in list(self._run_by_key.items()):
+            self._end(key, run, 'lapsed')
+
     def _advance(self, elapsed: float, now: float) -> None:
-        if self._run_by_key and now > self._lease_ends:
-            for key, run in list(self._run_by_key.items()):
-                self._end(key, run, 'lapsed')
+        self._check_lease(now)
         for key, run in list(self._run_by_key.items()):
             ending = run.advance(elapsed, now)
             if ending:
