advice: one long call for a gang while lanes are busy

Cause: with few idle lanes a step asks about 30 workers at a time. Each round takes 0.8 s, and the first tickets expire after 2 s.

Change: a gang that isn't urgent asks about up to 100 workers in a call, as many as have the seats that it needs by their free capacity now. With idle lanes the size is as before.

--- /dev/null
+++ b/orchidrail/advice/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of advice requests."""
--- a/orchidrail/shard/advice_requester.py
+++ b/orchidrail/shard/advice_requester.py
@@ -8,6 +8,11 @@
 from functools import partial
 from typing import NamedTuple
 
+from orchidrail.advice import size_request, workers_with_seats
+from orchidrail.advice.request_size import (
+    MAX_WORKERS_PER_CALL,
+    WORKERS_PER_CALL,
+)
 from orchidrail.background_tasks import BackgroundTasks
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher
 from orchidrail.shard.advice_queue import AdviceRequest
@@ -24,23 +29,16 @@
 from orchidrail.work.step import StepState, longest_waiting_first
 from orchidrail.workers.port import Advice
 
-#: Usual number of workers per call.
-_WORKERS_PER_CALL = 30
-#: Most workers that the service accepts in one call.
-_MAX_WORKERS_PER_CALL = 100
 #: Splitting below this hardly shortens a call: on the users' sites the fixed
 #: cost of a call equals that of about 70 workers.
 _MIN_WORKERS_PER_CALL = 12
-#: A step makes one call for each so many idle lanes: every call has a fixed
-#: cost, and more calls would only add load to busy lanes.
-_IDLE_LANES_PER_CALL = 4
 #: Initial requests that may be queued per lane. More would only wait, and once
 #: these are sent, the steps are considered again, the most urgent first.
 _QUEUED_PER_LANE = 1
 #: The same for overdue steps, which may queue more: the ticket renewals of
 #: other steps, which follow every failed run, could fill the queue for good.
 _QUEUED_PER_LANE_OVERDUE = 3
-#: Factor on the number of workers that a gang would need if they were idle. It
+#: Factor on the number of seats that a gang needs among those it asks about. It
 #: needs free capacity for all members at once, which few of its permitted
 #: workers have in a busy cell. In simulations with gangs of twenty near the
 #: capacity of a cell this gains 0.015 of the total worth, 0.03 of the gangs'.
@@ -116,23 +114,42 @@
         if not unchecked:
             return
         unchecked.sort(key=lambda tracked: -tracked.free.millicores)
-        copies = max(1, step.spec.charged.copies_in(unchecked[0].free))
-        oversampling = (
-            _GANG_OVERSAMPLING if step.spec.gang and not step.job.urgent else 1
-        )
-        wanted = oversampling * self._approvals.workers_to_ask(
-            step.job.queue.name,
-            missing / copies,
-        )
+        gang = step.spec.gang and not step.job.urgent
+        wanted = self._count_wanted(step, missing, unchecked, gang=gang)
         idle = self._dispatcher.lanes - self._calls_in_flight
-        calls = max(1, idle // _IDLE_LANES_PER_CALL)
-        max_candidates = _WORKERS_PER_CALL * calls
-        candidates = unchecked[
-            : min(max_candidates, max(_WORKERS_PER_CALL, wanted))
-        ]
-        for group in _split_into_calls(candidates, calls):
+        size = size_request(wanted, idle, gang=gang)
+        candidates = unchecked[: size.workers]
+        for group in _split_into_calls(candidates, size.calls):
             self._send(_Batch(rank, step, group, group, initial=True))
 
+    def _count_wanted(
+        self,
+        step: StepState,
+        missing: int,
+        unchecked: list[TrackedWorker],
+        *,
+        gang: bool,
+    ) -> int:
+        """Return how many of the unchecked workers a step wants to ask about.
+
+        Parameters
+        ----------
+        unchecked : list of TrackedWorker
+            In the order in which they are asked about.
+        """
+        queue = step.job.queue.name
+        size = step.spec.charged
+        if gang:
+            seats = _GANG_OVERSAMPLING * self._approvals.workers_to_ask(
+                queue, missing
+            )
+            free_seats = (
+                max(0, size.copies_in(tracked.free)) for tracked in unchecked
+            )
+            return workers_with_seats(seats, free_seats)
+        copies = max(1, size.copies_in(unchecked[0].free))
+        return self._approvals.workers_to_ask(queue, missing / copies)
+
     def renew_tickets(
         self,
         rank: Rank,
@@ -159,14 +176,14 @@
             tracked_by_worker[worker].hold(step.key, size)
         chosen_workers = list(tracked_by_worker.values())
         extra_wanted = len(chosen_workers) if step.spec.gang else missing
-        max_extra = max(0, _WORKERS_PER_CALL - len(chosen_workers))
+        max_extra = max(0, WORKERS_PER_CALL - len(chosen_workers))
         extra = 0 if step.job.urgent else min(extra_wanted, max_extra)
         candidates = (
             chosen_workers
             + self._with_expired_tickets(step, chosen_workers)[:extra]
         )
         for group in _split_evenly(
-            candidates, math.ceil(len(candidates) / _MAX_WORKERS_PER_CALL)
+            candidates, math.ceil(len(candidates) / MAX_WORKERS_PER_CALL)
         ):
             held = chosen_workers if step.spec.gang else group
             self._send(_Batch(rank, step, group, held, initial=False))
