--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -45,6 +45,8 @@
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
 _COST = AdviceCost(0.5, 0.007, 1.5)
+#: The shortest time by which two jobs may be accepted apart, in seconds.
+_MOMENT = 0.001
 _SOON = 0.05
 #: Maximum number of workers in one call to the advice service.
 _MAX_IN_CALL = 100
@@ -559,7 +561,11 @@
             shard.add(first)
             await asyncio.sleep(_SOON)
             large = _make_job('b' * 16, StepSpec(1, Size(40_000)), 1, False)
+            # Jobs accepted at the same moment have no order.
+            await asyncio.sleep(_MOMENT)
             small = _make_job('c' * 16, StepSpec(1, Size(20_000)), 2, False)
+            # Their objectives leave no time, so both are late by then.
+            await asyncio.sleep(_MOMENT)
             shard.add(large)
             shard.add(small)
             await asyncio.sleep(_SOON)
