--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -52,6 +53,9 @@
 _WIDE = 130
 #: Clocks that start at 0 would hide times that were never set.
 _STARTED_AT: Seconds = 1000
+#: Jobs are accepted one after another, also at one virtual time: the order
+#: decides between steps of the same rank.
+_acceptance_delays = itertools.count(step=1e-6)
 
 
 def _clock() -> Seconds:
@@ -69,7 +73,7 @@
     record = msgspec.structs.replace(
         job.record,
         queue=queue,
-        accepted_at=_clock(),
+        accepted_at=_clock() + next(_acceptance_delays),
     )
     return Job(JobId(name), record)
 
@@ -610,11 +614,9 @@
             await shard.add_worker('w-1')
             shard.dispatcher.set_advice_lanes([InstanceId('lane')])
             asking = _make_job('a' * 16, StepSpec(1, Size(1, 1)), 1, True)
-            # It is ranked first, as it is accepted earlier.
-            await asyncio.sleep(_SOON)
+            shard.add(asking)
             full = StepSpec(2, Size(64_000, 1))
             full_step_job = _make_job('b' * 16, full, 1, advice=False)
-            shard.add(asking)
             shard.add(full_step_job)
             await asyncio.sleep(_SOON)
             await shard.answer(0, valid=1.5)
