--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -117,7 +117,7 @@
 class Failure(NamedTuple):
     """A failed run; gang members that fail in the same run share it."""
 
-    run: int
+    run: int | None
     #: Empty for a gang.
     worker: str
 
@@ -213,7 +213,9 @@
         units = {job.unit_of(task) for job in jobs for task in job.tasks}
         return sum(len(self._outcomes_by_unit[unit].failures) for unit in units)
 
-    def record_start(self, key: str, text: str, worker: str) -> None:
+    def record_start(
+        self, key: str, text: str, worker: str, run: int | None = None
+    ) -> None:
         """Record a start and check that it is allowed."""
         job_id, _, step, _ = key.split('.')
         job = self.job_by_id.get(job_id)
@@ -239,10 +241,10 @@
             self.report_violation(
                 'TWICE', f'{key} on {worker} after its acknowledged end'
             )
-        if (
-            not job.lasting
-            and len(outcomes.acknowledged_failures) >= MAX_ATTEMPTS
-        ):
+        # The members of a gang start at different times: one may have failed
+        # when the start of another one in the same run arrives.
+        counted = outcomes.acknowledged_failures - {Failure(run, '')}
+        if not job.lasting and len(counted) >= MAX_ATTEMPTS:
             failures = len(outcomes.failures)
             self.report_violation('BUDGET', f'{key} after {failures} failures')
         for earlier in job.steps[int(step)].get('afterRevision', ()):
--- a/soak/tests/test_ledger.py
+++ b/soak/tests/test_ledger.py
@@ -167,6 +167,18 @@
         self.ledger.record_start(self.job.tasks[1], 'text', 'w')
         self.assertEqual(['BUDGET'], self.rules())
 
+    def test_late_start_in_the_run_of_the_last_attempt(self) -> None:
+        """Guards against a false alarm where a member's start arrives late.
+
+        Another member of its gang has failed by then; it is the same attempt.
+        """
+        for number in range(3):
+            self.run_once(number, 'failed', 'broken')
+        self.ledger.record_start(self.job.tasks[1], 'text', 'w', 2)
+        self.assertEqual([], self.rules())
+        self.ledger.record_start(self.job.tasks[0], 'text', 'w', 3)
+        self.assertEqual(['BUDGET'], self.rules())
+
     def test_always_failing_job_that_is_never_abandoned(self) -> None:
         for number in range(3):
             self.run_once(number, 'failed', 'broken')
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -327,7 +327,9 @@
             self.name,
         ):
             return json_response(409, {'clockMs': now_ms, 'reason': 'ticket'})
-        self._ledger.record_start(order['taskId'], order['spec'], self.name)
+        self._ledger.record_start(
+            order['taskId'], order['spec'], self.name, order['runId']
+        )
         self.on_start(order['taskId'], self.zone)
         self._run_by_key[key] = self._make_run(*key)
         if self._is_crashing(order['taskId']):
