shard: a placer whose process stood still in a pass goes on soon

After a pass it slept for as long as the pass had taken, without a bound. At most 1 s now; the test fails without it.

--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -30,6 +30,9 @@
 #: Minimum pause between two passes. Passes take at most half of the time, so
 #: that orders to workers and polls proceed in between.
 _MIN_PAUSE: Seconds = 0.004
+#: Maximum pause. A pass takes far less, unless the process stood still in it:
+#: work that could run would wait as long again.
+_MAX_PAUSE: Seconds = 1.0
 #: Maximum interval between passes, so that elapsed timeouts are noticed.
 _MAX_PASS_INTERVAL: Seconds = 0.1
 #: No task is placed once the journal has not confirmed writes for this long: a
@@ -86,7 +89,8 @@
             started = self._state.clock()
             self.place_all()
             duration = self._state.clock() - started
-            await asyncio.sleep(max(_MIN_PAUSE, duration))
+            pause = min(max(_MIN_PAUSE, duration), _MAX_PAUSE)
+            await asyncio.sleep(pause)
 
     def close(self) -> None:
         """Cancel all pending advice requests."""
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -609,6 +609,38 @@
 
         self.run_scenario(scenario)
 
+    def test_a_pass_in_which_the_process_stood_still_delays_the_next_little(
+        self,
+    ) -> None:
+        """Guards against a placer that sleeps as long as its process did.
+
+        A process that is paused, or blocked on its disk, in a pass measures a
+        pass of that duration.
+        """
+
+        async def scenario(shard: _Scenario) -> None:
+            await shard.add_worker('w-1')
+            stood_still: list[Seconds] = []
+            place_all = shard.placer.place_all
+
+            def stand_still() -> None:
+                place_all()
+                shard.placer.place_all = place_all  # type: ignore[method-assign]
+                stood_still.append(10)
+
+            shard.state.clock = lambda: _clock() + sum(stood_still)
+            shard.placer.place_all = stand_still  # type: ignore[method-assign]
+            shard.state.pass_requested.set()
+            await asyncio.sleep(_SOON)
+            self.assertEqual([10], stood_still)
+            job = _make_job('a' * 16, StepSpec(1, Size(1000)), 1, advice=False)
+            shard.add(job)
+            await asyncio.sleep(1)
+            task = job.steps(0)[0].tasks[0]
+            self.assertIs(TaskPhase.PLACED, task.phase)
+
+        self.run_scenario(scenario)
+
     def test_a_job_records_its_wait_reasons(self) -> None:
         async def scenario(shard: _Scenario) -> None:
             await shard.add_worker('w-1')
