--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -45,6 +45,9 @@
 _PAUSE_PER_STEP: Seconds = 160e-6
 #: Bound of these, small beside the objectives of urgent work (0.25 s and more).
 _MAX_LOAD_PAUSE: Seconds = 0.02
+#: Maximum pause. A pass takes far less, unless the process stood still in it:
+#: work that could run would wait as long again.
+_MAX_PAUSE: Seconds = 1.0
 #: Maximum interval between passes, so that elapsed timeouts are noticed.
 _MAX_PASS_INTERVAL: Seconds = 0.1
 #: No task is placed once the journal has not confirmed writes for this long: a
@@ -105,7 +108,7 @@
             started = self._state.clock()
             self.place_all()
             duration = self._state.clock() - started
-            await self._pause(duration)
+            await self._pause(min(duration, _MAX_PAUSE))
 
     async def _pause(self, duration: Seconds) -> None:
         """Pause after a pass that took `duration`; serve urgent work meanwhile.
--- a/orchidrail/shard/tests/test_placer.py
+++ b/orchidrail/shard/tests/test_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -54,6 +55,9 @@
 _WIDE = 130
 #: Clocks that start at 0 would hide times that were never set.
 _STARTED_AT: Seconds = 1000
+#: Jobs are accepted one after another, also at one virtual time: the order
+#: decides between steps of the same rank.
+_acceptance_delays = itertools.count(step=1e-6)
 
 
 def _clock() -> Seconds:
@@ -71,7 +75,7 @@
     record = msgspec.structs.replace(
         job.record,
         queue=queue,
-        accepted_at=_clock(),
+        accepted_at=_clock() + next(_acceptance_delays),
     )
     return Job(JobId(name), record)
 
@@ -611,16 +615,46 @@
 
         self.run_scenario(scenario)
 
+    def test_a_pass_in_which_the_process_stood_still_delays_the_next_little(
+        self,
+    ) -> None:
+        """Guards against a placer that sleeps as long as its process did.
+
+        A process that is paused, or blocked on its disk, in a pass measures a
+        pass of that duration.
+        """
+
+        async def scenario(shard: _Scenario) -> None:
+            await shard.add_worker('w-1')
+            stood_still: list[Seconds] = []
+            place_all = shard.placer.place_all
+
+            def stand_still() -> None:
+                place_all()
+                shard.placer.place_all = place_all  # type: ignore[method-assign]
+                stood_still.append(10)
+
+            shard.state.clock = lambda: _clock() + sum(stood_still)
+            shard.placer.place_all = stand_still  # type: ignore[method-assign]
+            shard.state.pass_requested.set()
+            await asyncio.sleep(_SOON)
+            self.assertEqual([10], stood_still)
+            job = _make_job('a' * 16, StepSpec(1, Size(1000)), 1, advice=False)
+            shard.add(job)
+            await asyncio.sleep(1)
+            task = job.steps(0)[0].tasks[0]
+            self.assertIs(TaskPhase.PLACED, task.phase)
+
+        self.run_scenario(scenario)
+
     def test_a_job_records_its_wait_reasons(self) -> None:
         async def scenario(shard: _Scenario) -> None:
             await shard.add_worker('w-1')
             shard.dispatcher.set_advice_lanes([InstanceId('lane')])
             asking = _make_job('a' * 16, StepSpec(1, Size(1, 1)), 1, True)
-            # It is ranked first, as it is accepted earlier.
-            await asyncio.sleep(_SOON)
+            shard.add(asking)
             full = StepSpec(2, Size(64_000, 1))
             full_step_job = _make_job('b' * 16, full, 1, advice=False)
-            shard.add(asking)
             shard.add(full_step_job)
             await asyncio.sleep(_SOON)
             await shard.answer(0, valid=1.5)
