--- a/orchidrail/evacuation/follower.py
+++ b/orchidrail/evacuation/follower.py
@@ -51,7 +51,7 @@
 
     def _apply(self, snapshot: ZoneSnapshot, source: str) -> None:
         changes = self.gate.apply(snapshot)
-        self._metrics.evacuated_zones.set(len(self.gate.snapshot.zones))
+        self._metrics.evacuation.zones.set(len(self.gate.snapshot.zones))
         for zone in sorted(changes.evacuated):
             _log.info('zone evacuated', evacuated=zone, source=source)
         for zone in sorted(changes.returned):
--- a/orchidrail/evacuation/tests/test_follower.py
+++ b/orchidrail/evacuation/tests/test_follower.py
@@ -86,11 +86,11 @@
             await self.write(f'evacuate/{_ZONE}', b'{}')
             await asyncio.sleep(_READ_TIME)
             self.assertFalse(self.gate.may_start_in(_ZONE))
-            self.assertEqual(1, self.metrics.evacuated_zones._value.get())
+            self.assertEqual(1, self.metrics.evacuation.zones._value.get())
             await self.write(f'evacuate/{_ZONE}', b'')
             await asyncio.sleep(_READ_TIME)
             self.assertTrue(self.gate.may_start_in(_ZONE))
-            self.assertEqual(0, self.metrics.evacuated_zones._value.get())
+            self.assertEqual(0, self.metrics.evacuation.zones._value.get())
 
         self.run_scenario(scenario)
 
--- a/orchidrail/instance/main.py
+++ b/orchidrail/instance/main.py
@@ -14,17 +14,12 @@
 from blacksheep import Application
 
 from orchidrail.clocks import elapsed, run_program
+from orchidrail.http_handlers import Receive, Scope, Send
 from orchidrail.instance.daemon import InstanceDaemon
 from orchidrail.instance.metrics_api import metrics_app
 from orchidrail.instance.settings import InstanceSettings
 from orchidrail.logs import configure_logs
-from orchidrail.platform.callers import (
-    CallerApi,
-    ReadinessApi,
-    Receive,
-    Scope,
-    Send,
-)
+from orchidrail.platform.callers import CallerApi, ReadinessApi
 from orchidrail.platform.documents import decode_settings
 from orchidrail.sockets import listen
 from orchidrail.types import Address, Seconds
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -175,6 +175,43 @@
         )
 
 
+class PreemptionMetrics:
+    """Metrics of the runs stopped for more urgent work."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.stopped_runs = Counter(
+            'orchidrail_preempted_runs',
+            'Runs stopped for more urgent work, by their queue.',
+            (_QUEUE,),
+            registry=registry,
+        )
+        self.lost_core_seconds = Counter(
+            'orchidrail_preemption_lost_core_seconds',
+            'Estimated core-seconds lost by stops for more urgent work, by '
+            'the queue of the stopped runs.',
+            (_QUEUE,),
+            registry=registry,
+        )
+
+
+class EvacuationMetrics:
+    """Metrics of the evacuation of zones."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.zones = Gauge(
+            'orchidrail_evacuated_zones',
+            'Zones on whose workers nothing is started.',
+            registry=registry,
+        )
+        self.held_starts = Counter(
+            'orchidrail_held_starts',
+            'Placed starts that were not sent because of an evacuation.',
+            registry=registry,
+        )
+
+
 class InstanceMetrics:
     """Metrics of the process of one instance."""
 
@@ -183,6 +220,8 @@
         self.registry = CollectorRegistry()
         self._queue_labels = LabelLimiter(_MAX_LABEL_VALUES)
         self._tenant_labels = LabelLimiter(_MAX_LABEL_VALUES)
+        self.preemption = PreemptionMetrics(self.registry)
+        self.evacuation = EvacuationMetrics(self.registry)
         self.submissions = self._counter(
             'submissions',
             'Submissions answered to callers, by queue and outcome.',
@@ -215,17 +254,6 @@
             'runs_not_listed',
             'Runs taken for gone since their worker listed no end of them.',
         )
-        self.preempted_runs = self._counter(
-            'preempted_runs',
-            'Runs stopped for more urgent work, by their queue.',
-            _QUEUE,
-        )
-        self.preemption_loss = self._counter(
-            'preemption_lost_core_seconds',
-            'Estimated core-seconds lost by stops for more urgent work, by '
-            'the queue of the stopped runs.',
-            _QUEUE,
-        )
         self.task_crashes = self._counter(
             'task_crashes',
             'Runs under which a worker ended, by queue and what became of '
@@ -301,14 +329,6 @@
             'config_version',
             'Version of the configuration in force.',
         )
-        self.evacuated_zones = self._gauge(
-            'evacuated_zones',
-            'Zones on whose workers nothing is started.',
-        )
-        self.held_starts = self._counter(
-            'held_starts',
-            'Placed starts that were not sent because of an evacuation.',
-        )
         self.workers = self._gauge(
             'workers',
             'Workers of the shard owned here, by standing.',
--- a/orchidrail/platform/callers.py
+++ b/orchidrail/platform/callers.py
@@ -5,16 +5,16 @@
 import asyncio
 import math
 import string
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 from blacksheep import Application, Content, Request, Response, Router
 from result import Err
 
 from orchidrail.clocks import elapsed
-from orchidrail.http_handlers import as_handler
+from orchidrail.http_handlers import Receive, Scope, Send, as_handler
 from orchidrail.ingress.authentication import CallAuthenticator, RejectReason
 from orchidrail.ingress.job_forwarder import JobAnswer, JobForwarder
 from orchidrail.metrics import InstanceMetrics
@@ -62,9 +62,6 @@
     True: (HTTPStatus.OK, b'ready'),
     False: (HTTPStatus.SERVICE_UNAVAILABLE, b'not ready'),
 }
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Scope]]
-Send = Callable[[Scope], Awaitable[None]]
 #: Seconds after which a call rejected because of this instance's state may be
 #: retried: the entry point then routes the caller to another instance.
 _REJECTION_RETRY_AFTER: Seconds = 1
--- a/orchidrail/preemption/preemptor.py
+++ b/orchidrail/preemption/preemptor.py
@@ -322,8 +322,10 @@
         task = self._state.find_task(victim.members[0][1].task)
         if task is not None:
             label = metrics.queue_label(task.step.job.queue.name)
-            metrics.preempted_runs.labels(label).inc(len(victim.members))
-            metrics.preemption_loss.labels(label).inc(victim.loss)
+            metrics.preemption.stopped_runs.labels(label).inc(
+                len(victim.members)
+            )
+            metrics.preemption.lost_core_seconds.labels(label).inc(victim.loss)
         _log.info(
             'run preempted',
             tasks=[key.task for _, key in victim.members],
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -6,7 +6,6 @@
 import bisect
 import contextlib
 import itertools
-import math
 from operator import itemgetter
 
 from orchidrail.preemption.preemptor import Preemptor
@@ -14,7 +13,9 @@
 from orchidrail.shard.advice_requester import TICKET_MARGIN, AdviceRequester
 from orchidrail.shard.due_times import DueTimes
 from orchidrail.shard.headroom import Headroom
+from orchidrail.shard.limit_gate import LimitGate
 from orchidrail.shard.long_waits import WaitingWork
+from orchidrail.shard.pass_pacing import MAX_PAUSE, MIN_PAUSE, load_pause
 from orchidrail.shard.placement_pass import (
     FreeCapacitySnapshot,
     PlacementPass,
@@ -31,33 +32,15 @@
 from orchidrail.shard.tracked_worker import TrackedWorker
 from orchidrail.shard.worker_selection import Placement, choose_workers
 from orchidrail.types import JobId, Seconds, WorkerId
-from orchidrail.work.step import StepState, Task, longest_waiting_first
+from orchidrail.work.step import StepState, Task
 from orchidrail.work.wait_times import WaitReason
 
-#: Minimum pause between two passes. Passes take at most half of the time, so
-#: that orders to workers and polls proceed in between.
-_MIN_PAUSE: Seconds = 0.004
-#: The same for each worker and for each waiting step that the pass looks at:
-#: about four times what that takes, so that passes take a fifth of the time.
-#: Where the clock stands still during a pass, or several processes share a
-#: core, the measured duration says too little.
-_PAUSE_PER_WORKER: Seconds = 40e-6
-_PAUSE_PER_STEP: Seconds = 160e-6
-#: Bound of these, small beside the objectives of urgent work (0.25 s and more).
-_MAX_LOAD_PAUSE: Seconds = 0.02
-#: Maximum pause. A pass takes far less, unless the process stood still in it:
-#: work that could run would wait as long again.
-_MAX_PAUSE: Seconds = 1.0
 #: Maximum interval between passes, so that elapsed timeouts are noticed.
 _MAX_PASS_INTERVAL: Seconds = 0.1
 #: No task is placed once the journal has not confirmed writes for this long: a
 #: start waits for the journal, and tickets expire meanwhile. The journal
 #: usually confirms within 8 ms, within 0.3 s when it is slow.
 _JOURNAL_TIMEOUT: Seconds = 0.7
-#: Maximum time for which work waits for a gang of its tenant that would not fit
-#: the limit even so. It leaves 2 s of the 3 s for which work that could run may
-#: make no progress to other causes.
-_MAX_SAVING_IN_VAIN: Seconds = 1.0
 
 
 class Placer:
@@ -86,6 +69,7 @@
         self._advice_requester = AdviceRequester(state, runs, dispatcher)
         self._preemptor = preemptor
         self._headroom = Headroom()
+        self._limits = LimitGate(state.ledger)
         #: Steps with startable tasks, of all open jobs.
         self._waiting_by_job: dict[JobId, list[WaitingStep]] = {}
         self._free_capacity = FreeCapacitySnapshot()
@@ -108,7 +92,7 @@
             started = self._state.clock()
             self.place_all()
             duration = self._state.clock() - started
-            await self._pause(min(duration, _MAX_PAUSE))
+            await self._pause(min(duration, MAX_PAUSE))
 
     async def _pause(self, duration: Seconds) -> None:
         """Pause after a pass that took `duration`; serve urgent work meanwhile.
@@ -118,7 +102,7 @@
         """
         until = self._state.clock() + max(self._load_pause(), duration)
         while True:
-            await asyncio.sleep(max(_MIN_PAUSE, duration))
+            await asyncio.sleep(max(MIN_PAUSE, duration))
             remaining = until - self._state.clock()
             if remaining <= 0:
                 return
@@ -133,11 +117,8 @@
         self._advice_requester.close()
 
     def _load_pause(self) -> Seconds:
-        """Return the pause after a pass by what it looked at, seconds."""
         steps = sum(map(len, self._waiting_by_job.values()))
-        workers = len(self._state.tracked_by_worker)
-        pause = _PAUSE_PER_WORKER * workers + _PAUSE_PER_STEP * steps
-        return min(max(_MIN_PAUSE, pause), _MAX_LOAD_PAUSE)
+        return load_pause(len(self._state.tracked_by_worker), steps)
 
     def place_all(self) -> None:
         """Run one placement pass."""
@@ -237,7 +218,7 @@
     ) -> None:
         """Place what a step may start, or record why it waits."""
         step = waiting.step
-        in_limit = self._within_limit(waiting, this_pass)
+        in_limit = self._limits.allowed(waiting, this_pass)
         allowed = in_limit
         if waiting.has_slack(this_pass):
             allowed = _apply_headroom(step, allowed, this_pass)
@@ -259,46 +240,6 @@
                 reason = WaitReason.LIMIT
             this_pass.reason_by_job[step.job.job_id] = reason
 
-    def _within_limit(
-        self,
-        waiting: WaitingStep,
-        this_pass: PlacementPass,
-    ) -> list[Task]:
-        """Return the tasks that their tenant's limit allows to start.
-
-        Work that is not urgent does not go ahead of a gang of the same tenant
-        that needs most of the limit: otherwise that much of the limit would
-        never be free at once. It does once it has waited for a while without
-        use: while the tenant's urgent work uses too much, the gang doesn't fit
-        whatever else waits.
-        """
-        step = waiting.step
-        tenant = step.job.tenant.name
-        tasks = waiting.tasks
-        if this_pass.workers.overdue(step):
-            # Otherwise a task that fails repeatedly would always start before
-            # the other tasks of its step.
-            tasks = longest_waiting_first(tasks)
-        in_limit: list[Task] = []
-        if tenant not in this_pass.tenants_saving_limit or step.job.urgent:
-            in_limit = self._state.ledger.within_limit(step, tasks)
-            if not in_limit and self._saves_limit(step, this_pass.now):
-                this_pass.tenants_saving_limit.add(tenant)
-        if not in_limit:
-            this_pass.workers.note_limit_reached(step)
-        return in_limit
-
-    def _saves_limit(self, step: StepState, now: Seconds) -> bool:
-        """Whether other work of its tenant waits for a step above the limit."""
-        ledger = self._state.ledger
-        if not ledger.needs_most_of_limit(step):
-            return False
-        if ledger.fits_once_others_end(step):
-            step.over_limit_since = math.inf
-            return True
-        step.over_limit_since = min(step.over_limit_since, now)
-        return now - step.over_limit_since < _MAX_SAVING_IN_VAIN
-
     def _defer_for_store(self, now: Seconds) -> bool:
         """Place nothing while the store has not responded for long."""
         unconfirmed = self._state.writer.time_since_confirmed()
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -392,7 +392,7 @@
         gate = self._state.zone_gate
         if all(gate.may_start_in(ZoneId(zone)) for zone in zones):
             return False
-        self._state.metrics.held_starts.inc()
+        self._state.metrics.evacuation.held_starts.inc()
         _log.info(
             'start held, zone evacuated',
             task=run.key.task,
