--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -21,6 +20,7 @@
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.types import Address, Epoch, InstanceId, Offset
 from orchidrail.work.model import MemberInfo
+from standins.model.loop import run_in_virtual_time
 
 _TOPIC = Topic('journal')
 _TIMEOUT = 2
@@ -42,12 +42,13 @@
         return await take_over(
             self._view(),
             _member(name),
-            time.monotonic,
+            asyncio.get_running_loop().time,
             Epoch(epoch),
         )
 
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        asyncio.run(asyncio.wait_for(work, _TIMEOUT))
+        """Run in virtual time: waits don't depend on the machine's load."""
+        run_in_virtual_time(asyncio.wait_for(work, _TIMEOUT))
 
     def test_one_of_two_concurrent_takeovers_succeeds(self) -> None:
         async def contend() -> None:
