--- a/orchidrail/shard/tests/test_evacuation.py
+++ b/orchidrail/shard/tests/test_evacuation.py
@@ -111,7 +111,8 @@
             self.assertEqual({TaskPhase.WAITING}, phases)
             self.assertEqual(shard.tracked.entry.capacity, shard.tracked.free)
             self.assertEqual(0, sum(task.failures for task in step.tasks))
-            counted = shard.state.metrics.evacuation.held_starts._value.get()
+            metrics = shard.state.metrics.evacuation
+            counted = metrics.held_starts._value.get()
             self.assertEqual(held, counted)
 
         self.run_scenario(scenario)
