--- a/orchidrail/cli/explain.py
+++ b/orchidrail/cli/explain.py
@@ -46,6 +46,8 @@
         'job not accepted',
         'job over',
         'job refused',
+        'job refused by digest',
+        'job refused by forecast',
         'job withdrawn',
     )
 )
--- a/orchidrail/ingress/job_forwarder.py
+++ b/orchidrail/ingress/job_forwarder.py
@@ -9,6 +9,8 @@
 import structlog
 from result import Err, Ok
 
+from orchidrail.admission.forecast import applies_to
+from orchidrail.ingress.load_refusals import LoadRefusals
 from orchidrail.journal import JournalView
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.peers.table import PeerTable
@@ -82,7 +84,7 @@
 
 def _rejection(answer: WorkAnswer) -> JobAnswer:
     """Return the rejection of a job and when the caller may retry."""
-    if answer.code is WorkCode.REJECTED:
+    if answer.code is WorkCode.REJECTED and not answer.retry_after:
         return _REJECTED
     return JobAnswer(answer.code, retry_after=answer.retry_after)
 
@@ -130,6 +132,7 @@
         self._handle_locally = handle_locally
         self._local_owner = local_owner
         self._clock = clock
+        self._load_refusals = LoadRefusals(table, metrics, clock)
 
     async def submit(
         self,
@@ -163,8 +166,12 @@
         started_at = self._clock()
         uncertain = False
         while self._clock() - started_at < timeout:
-            if self._table.is_partitioned() and not uncertain:
-                break
+            if not uncertain:
+                refusal = await self._find_refusal(
+                    job_id, queue, spec, tenant, started_at, timeout
+                )
+                if refusal is not None:
+                    return refusal
             remaining = timeout - (self._clock() - started_at)
             message = SubmitWork(
                 job_id=job_id,
@@ -180,6 +187,12 @@
                 return _rejection(answer)
             uncertain = uncertain or answer.code is WorkCode.UNCERTAIN
             await asyncio.sleep(_RETRY_PAUSE)
+        self._log_not_accepted(job_id, queue, uncertain)
+        return JobAnswer(WorkCode.UNCERTAIN) if uncertain else _REJECTED
+
+    def _log_not_accepted(
+        self, job_id: JobId, queue: QueueSettings, uncertain: bool = False
+    ) -> None:
         _log.info(
             'job not accepted',
             job=job_id,
@@ -188,7 +201,34 @@
             owner=self._table.claim.name,
             epoch=self._table.claim.epoch,
         )
-        return JobAnswer(WorkCode.UNCERTAIN) if uncertain else _REJECTED
+
+    async def _find_refusal(
+        self,
+        job_id: JobId,
+        queue: QueueSettings,
+        spec: JobSpec,
+        tenant: Tenant,
+        arrived_at: Seconds,
+        timeout: Seconds,
+    ) -> JobAnswer | None:
+        """Return the rejection of a job that is not sent, None to send it."""
+        if self._table.is_partitioned():
+            self._log_not_accepted(job_id, queue)
+            return _REJECTED
+        if self._local_owner() is not None or not applies_to(spec):
+            return None
+        if self._owner_is_unresponsive():
+            elapsed = self._clock() - arrived_at
+            retry_after = self._load_refusals.find_by_outage(
+                job_id, queue, spec, elapsed, timeout - elapsed
+            )
+        else:
+            retry_after = await self._load_refusals.find_by_digest(
+                job_id, queue, spec, tenant, arrived_at
+            )
+        if not retry_after:
+            return None
+        return JobAnswer(WorkCode.REJECTED, retry_after=retry_after)
 
     async def query(
         self,
@@ -231,8 +271,10 @@
     async def _try_submit(self, message: SubmitWork) -> WorkAnswer:
         if self._owner_is_unresponsive():
             return WorkAnswer(code=WorkCode.NOT_OWNER)
+        asked_at = self._clock()
         answer = await self._ask_while_owner_is_live(message)
         if isinstance(answer, Ok):
+            self._load_refusals.note_reply(self._clock() - asked_at)
             return answer.ok_value
         if answer.err_value is CallFailure.ANSWER_LOST:
             return WorkAnswer(code=WorkCode.UNCERTAIN)
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -132,6 +132,7 @@
             queues=list(waiting),
             waiting=list(waiting.values()),
             config_version=self.config_version(),
+            load=b'' if owner is None else owner.admission.digest(claim.epoch),
         )
 
     def owner_is_live(self) -> bool:
--- a/orchidrail/instance/peer_service.py
+++ b/orchidrail/instance/peer_service.py
@@ -107,7 +107,9 @@
             else ANONYMOUS_TENANT
         )
         queue = _decode_queue(message.queue)
-        objection = owner.find_rejection(message.job_id, queue, spec, tenant)
+        objection = owner.find_rejection(
+            message.job_id, queue, spec, tenant, message.patience
+        )
         if objection is not None:
             return WorkAnswer(
                 code=objection.code,
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -32,6 +32,10 @@
 )
 
 
+#: Bounds for errors of either sign, seconds.
+_ERROR_BUCKETS = (-5, -2, -1, -0.5, -0.2, *_WAIT_BUCKETS)
+
+
 class LabelLimiter:
     """Bounds the number of distinct values of a label.
 
@@ -175,6 +179,34 @@
         )
 
 
+class AdmissionMetrics:
+    """Metrics of the admission of jobs by forecast."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.refusals = Counter(
+            'orchidrail_jobs_refused_by_forecast',
+            'Jobs refused since they could not have been of use, by queue and '
+            'by what the forecast was based on.',
+            (_QUEUE, 'reason'),
+            registry=registry,
+        )
+        self.forecast_error = Histogram(
+            'orchidrail_forecast_error_seconds',
+            'By how much later than forecast jobs started, by queue.',
+            (_QUEUE,),
+            buckets=_ERROR_BUCKETS,
+            registry=registry,
+        )
+        self.digest_age = Histogram(
+            'orchidrail_load_digest_age_seconds',
+            'Age of the digest of the load of the owner by which jobs were '
+            'refused.',
+            buckets=_WAIT_BUCKETS,
+            registry=registry,
+        )
+
+
 class InstanceMetrics:
     """Metrics of the process of one instance."""
 
@@ -183,6 +215,7 @@
         self.registry = CollectorRegistry()
         self._queue_labels = LabelLimiter(_MAX_LABEL_VALUES)
         self._tenant_labels = LabelLimiter(_MAX_LABEL_VALUES)
+        self.admission = AdmissionMetrics(self.registry)
         self.submissions = self._counter(
             'submissions',
             'Submissions answered to callers, by queue and outcome.',
--- a/orchidrail/peers/pinger.py
+++ b/orchidrail/peers/pinger.py
@@ -104,13 +104,14 @@
 
     async def ping(self, member: MemberInfo) -> None:
         """Ping one peer and record its reply."""
+        started_at = self._clock()
         outcome = await self._transport.call(
             member.address,
             self._describe(),
             _TIMEOUT,
         )
         if isinstance(outcome, Ok) and isinstance(outcome.ok_value, PeerState):
-            self._table.record_heartbeat(outcome.ok_value)
+            self._table.record_heartbeat(outcome.ok_value, started_at)
 
     def close(self) -> None:
         """Cancel all pings in flight."""
@@ -129,7 +130,7 @@
         if isinstance(outcome, Ok) and isinstance(outcome.ok_value, PeerState):
             owning = outcome.ok_value.owning
             self.owner_denials = 0 if owning else self.owner_denials + 1
-            self._table.record_heartbeat(outcome.ok_value)
+            self._table.record_heartbeat(outcome.ok_value, started_at)
         elif self._clock() - started_at < _CONNECTION_REFUSED_WITHIN:
             self.owner_denials += 1
 
--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from orchidrail.admission import ReceivedDigest, decode_digest
 from orchidrail.types import Address, Epoch, InstanceId, Seconds
 from orchidrail.wire.messages import PeerState
 from orchidrail.work.model import MemberInfo
@@ -21,6 +22,8 @@
 _STARTUP_WINDOW: Seconds = 1.0
 #: Time without a heartbeat after which a peer is forgotten.
 _FORGET_AFTER: Seconds = 25
+#: Number of bytes of an unreadable digest that are logged.
+_MAX_QUOTED = 32
 
 
 def _ignore_version(version: int) -> None:
@@ -62,6 +65,8 @@
         #: Time of the last heartbeat in which the owner confirmed its role.
         self.owner_heartbeat_at: Seconds = clock()
         self.waiting_by_queue: dict[str, int] = {}
+        #: What the owner refuses, by its last reply.
+        self.load_digest: ReceivedDigest | None = None
         #: Pause between pings to the owner beyond the shortest one.
         self.owner_ping_delay: Seconds = 0
         #: Called with the configuration version of each heartbeat.
@@ -79,8 +84,17 @@
             now = self._clock()
             self._peer_by_name[member.name] = KnownPeer(member, -LIVE_FOR, now)
 
-    def record_heartbeat(self, state: PeerState) -> None:
-        """Record a peer's heartbeat and the owner that it names."""
+    def record_heartbeat(
+        self, state: PeerState, requested_at: Seconds | None = None
+    ) -> None:
+        """Record a peer's heartbeat and the owner that it names.
+
+        Parameters
+        ----------
+        requested_at : float, optional
+            When the ping was sent that it answers, monotonic seconds; None if
+            it came unasked.
+        """
         if state.name == self.me.name:
             return
         now = self._clock()
@@ -106,6 +120,23 @@
             self.waiting_by_queue = dict(
                 zip(state.queues, state.waiting, strict=True)
             )
+            if requested_at is not None:
+                self._record_digest(state, requested_at)
+
+    def _record_digest(self, state: PeerState, requested_at: Seconds) -> None:
+        try:
+            digest = decode_digest(state.load)
+        except (msgspec.MsgspecError, LookupError, TypeError) as error:
+            _log.warning(
+                'load digest not understood',
+                owner=state.name,
+                digest=state.load[:_MAX_QUOTED].hex(),
+                reason=str(error),
+            )
+            digest = None
+        self.load_digest = (
+            None if digest is None else ReceivedDigest(digest, requested_at)
+        )
 
     def update_claim(self, claim: OwnerClaim) -> None:
         """Replace the known claim to the shard by a newer one."""
--- a/orchidrail/shard/advice_requester.py
+++ b/orchidrail/shard/advice_requester.py
@@ -83,7 +83,7 @@
         self._state = state
         self._runs = runs
         self._dispatcher = dispatcher
-        self._approvals = ApprovalRates()
+        self.approvals = ApprovalRates()
         self._calls_in_flight = 0
         #: Initial calls for steps that are not urgent. Ticket renewals do not
         #: count: they follow every failed run and would block other requests.
@@ -109,7 +109,7 @@
         oversampling = (
             _GANG_OVERSAMPLING if step.spec.gang and not step.job.urgent else 1
         )
-        wanted = oversampling * self._approvals.workers_to_ask(
+        wanted = oversampling * self.approvals.workers_to_ask(
             step.job.queue.name,
             missing / copies,
         )
@@ -239,7 +239,7 @@
         permitted = sum(
             worker in advice.ticket_by_worker for worker in newly_checked
         )
-        self._approvals.record(
+        self.approvals.record(
             step.job.queue.name, permitted, len(newly_checked)
         )
         until = self._state.clock() + advice.valid
--- a/orchidrail/shard/approval_rates.py
+++ b/orchidrail/shard/approval_rates.py
@@ -49,9 +49,12 @@
 
     def workers_to_ask(self, queue: QueueName, workers: float) -> int:
         """Return how many workers to check to find `workers` permitted ones."""
+        return math.ceil(_OVERSAMPLING * workers / self.rate(queue))
+
+    def rate(self, queue: QueueName) -> float:
+        """Return the estimated share of permitted workers."""
         approved_total = self._approved_by_queue.get(
             queue, _PRIOR_RATE * _PRIOR_WEIGHT
         )
         asked_total = self._asked_by_queue.get(queue, _PRIOR_WEIGHT)
-        rate = max(_MIN_RATE, approved_total / asked_total)
-        return math.ceil(_OVERSAMPLING * workers / rate)
+        return max(_MIN_RATE, approved_total / asked_total)
--- a/orchidrail/shard/headroom.py
+++ b/orchidrail/shard/headroom.py
@@ -55,6 +55,20 @@
             free += tracked.free.millicores
             total += tracked.entry.capacity.millicores
             used += tracked.urgent_millicores
+        return int(free - self._reserved(service, total, used))
+
+    def reserved(self, service: ServiceName, total: int, used: int) -> int:
+        """Return how many millicores are left to urgent work.
+
+        Parameters
+        ----------
+        total, used : int
+            Millicores of the workers that accept work, and what urgent work
+            uses of them.
+        """
+        return int(self._reserved(service, total, used))
+
+    def _reserved(self, service: ServiceName, total: int, used: int) -> float:
         last_peak = self._peak_by_service[service].at(self._now)
         peak = min(last_peak, _MAX_SHARE * total)
-        return int(free - max(0, peak - used))
+        return max(0, peak - used)
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -10,14 +10,15 @@
 
 import structlog
 
-from orchidrail.journal import JournalView, JournalWriter
-from orchidrail.journal.writer import Commit
-from orchidrail.metrics import InstanceMetrics
-from orchidrail.shard.admission import (
+from orchidrail.admission import (
     AdmissionControl,
     Rejection,
     check_known_job,
 )
+from orchidrail.journal import JournalView, JournalWriter
+from orchidrail.journal.writer import Commit
+from orchidrail.metrics import InstanceMetrics
+from orchidrail.shard.admission_sources import admission_sources
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher, CallAdvice
 from orchidrail.shard.fleet import EntryDecoder, Fleet
 from orchidrail.shard.lease_timing import prior_leases_end, renewal_grace
@@ -112,7 +113,6 @@
             ports.metrics,
             ports.find_tenant,
         )
-        self._admission = AdmissionControl(self.state)
         self.runs = RunTracker(
             self.state,
             self.resign,
@@ -120,6 +120,9 @@
         )
         self.dispatcher = AdviceDispatcher(ports.ask, ports.clock)
         self.placer = Placer(self.state, self.runs, self.dispatcher)
+        self.admission = AdmissionControl(
+            admission_sources(self.state, self.placer)
+        )
         has_predecessor = writer.owner.epoch > 1
         prior_leases_until = (
             prior_leases_end(now, ports.longest_lease) if has_predecessor else 0
@@ -178,12 +181,13 @@
         queue: QueueSettings,
         spec: JobSpec,
         tenant: Tenant,
+        time_budget: Seconds = _DEFAULT_TIMEOUT,
     ) -> Rejection | None:
         """Return why a job is rejected, None if it may be accepted."""
         known = self.job_state(job_id)
         if known is not None:
             return check_known_job(known, tenant)
-        return self._admission.find(queue, spec, tenant)
+        return self.admission.find(job_id, queue, spec, tenant, time_budget)
 
     async def submit(
         self,
@@ -227,6 +231,7 @@
         )
         job = Job(job_id, record)
         self.state.job_by_id[job_id] = job
+        self.admission.note_accepted(job_id, queue, spec, over_share)
         commit = self.writer.put(job_key(job_id), encode(record))
         # Its first steps may be placed while it is being written: a start waits
         # for its own record, which is never written before that of the job.
@@ -369,6 +374,7 @@
 
     def _restore(self) -> None:
         for stored in read_jobs(self.writer.view.value_by_key):
+            self.admission.note_known(stored.job_id)
             if isinstance(stored.record, EndedRecord):
                 self._restore_lingering_runs(stored.record)
                 continue
--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import itertools
+from collections.abc import Iterator
 from operator import itemgetter
 
 from orchidrail.shard.advice_dispatcher import AdviceDispatcher
@@ -21,7 +23,13 @@
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import TrackedWorker
 from orchidrail.shard.worker_selection import Placement, choose_workers
-from orchidrail.types import JobId, Seconds, WorkerId
+from orchidrail.types import (
+    JobId,
+    QueueName,
+    Seconds,
+    ServiceName,
+    WorkerId,
+)
 from orchidrail.work.step import StepState, Task, longest_waiting_first
 from orchidrail.work.wait_times import WaitReason
 
@@ -205,6 +213,20 @@
             for waiting in steps
         )
 
+    def waiting_steps(self) -> Iterator[WaitingStep]:
+        """Yield the steps that the last pass found waiting."""
+        return itertools.chain.from_iterable(self._waiting_by_job.values())
+
+    def reserved_for_urgent(
+        self, service: ServiceName, total: int, used: int
+    ) -> int:
+        """Return the headroom of a service; see `Headroom.reserved`."""
+        return self._headroom.reserved(service, total, used)
+
+    def permitted_share(self, queue: QueueName) -> float:
+        """Return the share of the workers that advice permits for a queue."""
+        return self._advice_requester.approvals.rate(queue)
+
     def waiting_work(self) -> WaitingWork:
         """Return the waiting steps and the findings of the last pass."""
         steps = [
--- a/orchidrail/shard/ranking.py
+++ b/orchidrail/shard/ranking.py
@@ -6,7 +6,7 @@
 
 from orchidrail.types import Seconds
 from orchidrail.work.job import Job
-from orchidrail.work.model import JobSpec, QueueSettings
+from orchidrail.work.objectives import critical_path_s
 from orchidrail.work.step import StepState
 
 Rank = tuple[float, ...]
@@ -20,16 +20,6 @@
 _LATE_DEFERRAL: Seconds = 15.0
 
 
-def critical_path_s(spec: JobSpec, queue: QueueSettings) -> Seconds:
-    """Return the estimated duration of the critical path in seconds."""
-    advice = 0 if queue.advice is None else queue.advice.base
-    end_by_step: list[Seconds] = []
-    for step in spec.steps:
-        start = max((end_by_step[earlier] for earlier in step.after), default=0)
-        end_by_step.append(start + step.estimate + advice)
-    return max(end_by_step)
-
-
 def round_deadline(job: Job, round_number: int = 0) -> Seconds:
     """Return the wall clock time by which a round should have ended.
 
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -152,12 +152,14 @@
         if not math.isfinite(duration):
             return
         task.step.job.note_run(duration, tracked.worker)
-        if spec.gang or task.checkpoint:
+        if task.checkpoint:
+            return
+        queue = task.step.job.queue.name
+        self._state.durations.note(queue, duration, spec.estimate)
+        if spec.gang:
             return
         estimator = self._state.speeds
-        estimator.note(
-            tracked.worker, task.step.job.queue.name, duration, spec.estimate
-        )
+        estimator.note(tracked.worker, queue, duration, spec.estimate)
         tracked.speed_class = estimator.of(tracked.worker)
 
     def _record_outcome(
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -130,6 +130,9 @@
         metrics.first_start_seconds.labels(tenant, label).observe(
             max(0, waited)
         )
+        error = self._state.accuracy.note_start(job.job_id, self._state.clock())
+        if error is not None:
+            metrics.admission.forecast_error.labels(label).observe(error)
 
     def _observe_task_waits(self, job: Job, chosen: list[Placement]) -> None:
         now = self._state.clock()
--- a/orchidrail/wire/messages.py
+++ b/orchidrail/wire/messages.py
@@ -464,6 +464,8 @@
     waiting: list[int] = []
     #: Version of its active configuration.
     config_version: int = 0
+    #: What the owner refuses; see `orchidrail.admission.digest`.
+    load: bytes = b''
 
 
 class SubmitWork(Message, frozen=True):
--- a/orchidrail/wire/schema.capnp
+++ b/orchidrail/wire/schema.capnp
@@ -360,6 +360,7 @@
   queues @10 :List(Text);
   waiting @11 :List(Int64);
   configVersion @12 :Int64;
+  load @13 :Data;
 }
 
 struct SubmitWork {
--- a/standins/model/cell.py
+++ b/standins/model/cell.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import statistics
 import time
 from collections.abc import Iterator
@@ -77,6 +78,9 @@
 _WATCH_INTERVAL: Seconds = 0.01
 #: Seconds without any fault that must precede a lone member's end.
 _FAULT_FREE_BEFORE_LONE_END: Seconds = FAULT_FREE_BEFORE + GANG_WAIT
+#: Submissions of one job by its caller: the first and four more.
+_MAX_SUBMISSIONS = 5
+_CALLER_TIMEOUT: Seconds = 3.0
 _TOPIC = Topic('workers')
 
 _decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
@@ -136,6 +140,8 @@
         #: Accepted jobs with long-running tasks that were not cancelled.
         self._lasting_by_id: dict[JobId, DrawnJob] = {}
         self._faults = sorted(_fault_spans(load))
+        #: Submissions refused with a time to return.
+        self._refused = 0
         self._busy: list[float] = []
         self._idle_waiting: list[float] = []
 
@@ -213,17 +219,9 @@
     ) -> None:
         await asyncio.sleep(drawn.arrives_at)
         typed_id = JobId(job_id)
-        settings, tenant = drawn.queue.settings, self._find_tenant(drawn.tenant)
-        if owner.find_rejection(typed_id, settings, drawn.spec, tenant) is None:
-            accepted = await owner.submit(
-                typed_id,
-                settings,
-                drawn.spec,
-                tenant=tenant,
-            )
-            if accepted:
-                self._open_by_id[typed_id] = drawn
-            if accepted and drawn.cancelled_after is not None:
+        if await self._submit_until_accepted(owner, typed_id, drawn):
+            self._open_by_id[typed_id] = drawn
+            if drawn.cancelled_after is not None:
                 self._lasting_by_id[typed_id] = drawn
         if drawn.cancelled_after is not None:
             await asyncio.sleep(drawn.cancelled_after)
@@ -231,6 +229,27 @@
             self._open_by_id.pop(typed_id, None)
             await owner.cancel(typed_id)
 
+    async def _submit_until_accepted(
+        self, owner: ShardOwner, job_id: JobId, drawn: DrawnJob
+    ) -> bool:
+        """Submit a job, again whenever its caller is told to return."""
+        settings, spec = drawn.queue.settings, drawn.spec
+        for _ in range(_MAX_SUBMISSIONS):
+            tenant = self._find_tenant(drawn.tenant)
+            rejection = owner.find_rejection(
+                job_id, settings, spec, tenant, _CALLER_TIMEOUT
+            )
+            if rejection is None:
+                accepted = await owner.submit(
+                    job_id, settings, spec, tenant=tenant
+                )
+                return bool(accepted)
+            if not rejection.retry_after:
+                return False
+            self._refused += 1
+            await asyncio.sleep(math.ceil(rejection.retry_after))
+        return False
+
     def _find_tenant(self, name: TenantId) -> Tenant:
         """Return a tenant with the limit that the owner knows now."""
         now = asyncio.get_running_loop().time()
@@ -346,6 +365,7 @@
             left_waiting=len(self.lasting.left_waiting),
             alone=sum(map(self._counts_as_alone, workers.gangs.lone_ends)),
             processor_s=round(processor_s, 2),
+            refused=self._refused,
         )
 
     def _counts_as_alone(self, lone: LoneEnd) -> bool:
--- a/standins/model/evaluation.py
+++ b/standins/model/evaluation.py
@@ -137,6 +137,8 @@
     alone : int
         Gang members that ended because the others did not start, with no
         fault near.
+    refused : int
+        Submissions refused with a time to return.
     """
 
     worth: float
@@ -154,6 +156,7 @@
     left_waiting: int
     alone: int
     processor_s: Seconds
+    refused: int = 0
 
 
 def summarize_queues(jobs: list[EndedJob]) -> dict[str, QueueOutcome]:
--- a/standins/model/experiment.py
+++ b/standins/model/experiment.py
@@ -72,7 +72,8 @@
             str(one.busy_share),
             str(one.idle_waiting_share),
             f'{one.overfull}+{one.doubled}+{one.refused_tickets}, '
-            f'{one.left_waiting} left waiting, {one.alone} alone',
+            f'{one.left_waiting} left waiting, {one.alone} alone, '
+            f'{one.refused} refused',
             _show_crashes(one.crashes),
             str(one.processor_s),
         )
