--- a/orchidrail/admission/control.py
+++ b/orchidrail/admission/control.py
@@ -283,8 +283,6 @@
         wall = self._sources.load.wall_clock()
         need = JobNeed(key.rank, wall, 0, 0, 0, key.size_class)
         ahead = load.ahead_of(key.rank, wall, key.size_class)
-        if key.rank is RankClass.URGENT:
-            ahead = load.ahead_of(key.rank, math.inf, key.size_class)
         correction = self._sources.accuracy.correction(key.queue, now)
         start = forecast_start(need, load, ahead) + correction.earliest
         return RefusingGate(
--- a/orchidrail/admission/return_times.py
+++ b/orchidrail/admission/return_times.py
@@ -40,7 +40,9 @@
 
     Callers return from the moment when the job would be of use again, spread
     over the time that the refused work takes. The span ends with the job's
-    remaining use, so that callers with little of it left return first.
+    remaining use, so that callers with little of it left return first. If the
+    job is forecast to be of no use any more by then, the span is the second
+    half of its remaining use: the load may go sooner than forecast.
 
     Parameters
     ----------
@@ -60,6 +62,9 @@
     2
     """
     latest = max(MIN_RETURN_S, math.floor(remaining_use))
-    window = max(0, min(returning_takes, remaining_use - clear_in))
-    wanted = clear_in + spread_position(job_id) * window
+    begin, window = clear_in, min(returning_takes, remaining_use - clear_in)
+    if clear_in > remaining_use:
+        begin = max(0, remaining_use / 2)
+        window = begin
+    wanted = begin + spread_position(job_id) * window
     return min(latest, max(MIN_RETURN_S, math.ceil(wanted)))
--- a/orchidrail/admission/service_load.py
+++ b/orchidrail/admission/service_load.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
+import math
+from bisect import bisect_right
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -127,12 +128,12 @@
         rows.append((row.latest_start, work))
 
     def before(self, latest_start: Seconds) -> Ahead:
-        """Return the work with an earlier latest start."""
+        """Return the work with no later latest start."""
         if not self._sums:
             self._sum_up()
-        ahead = self._sums[bisect_left(self._starts, latest_start)]
+        ahead = self._sums[bisect_right(self._starts, latest_start)]
         for start, work in self._recent:
-            if start < latest_start:
+            if start <= latest_start:
                 ahead = ahead.plus(work)
         return ahead
 
@@ -242,13 +243,16 @@
     ) -> Ahead:
         """Return the work that goes before a job.
 
-        Wider work that finds no room does not hold up a narrow job.
+        Urgent work is placed in the order of arrival, so all that waits goes
+        before a new job. Wider work that finds no room does not hold up a
+        narrow job.
         """
         ahead = Ahead()
         for (other, size), work in self._work_by_class.items():
             if other > rank or size > size_class:
                 continue
-            until = latest_start if other == rank else float('inf')
+            by_start = other == rank and rank is not RankClass.URGENT
+            until = latest_start if by_start else math.inf
             ahead = ahead.plus(work.before(until))
         return ahead
 
--- a/orchidrail/admission/tests/__init__.py
+++ b/orchidrail/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission of jobs."""
--- a/orchidrail/admission/tests/test_forecast.py
+++ b/orchidrail/admission/tests/test_forecast.py
@@ -68,7 +68,7 @@
     latest_start: Seconds = 0,
     rank: RankClass = RankClass.OTHER,
     duration: Seconds = 1,
-    need: int = 50 * CORE,
+    need: int = 50_000,
 ) -> WaitingRow:
     """Return waiting work of a wide step, by default."""
     return WaitingRow(rank, latest_start, cores * CORE, duration, need)
