--- a/orchidrail/peers/table.py
+++ b/orchidrail/peers/table.py
@@ -134,9 +134,10 @@
                 reason=str(error),
             )
             digest = None
-        self.load_digest = (
-            None if digest is None else ReceivedDigest(digest, requested_at)
-        )
+        if digest is None:
+            self.load_digest = None
+        elif digest.epoch == self.claim.epoch:
+            self.load_digest = ReceivedDigest(digest, requested_at)
 
     def update_claim(self, claim: OwnerClaim) -> None:
         """Replace the known claim to the shard by a newer one."""
