--- a/orchidrail/admission/__init__.py
+++ b/orchidrail/admission/__init__.py
@@ -3,7 +3,7 @@
 from orchidrail.admission.accuracy import ForecastAccuracy
 from orchidrail.admission.control import AdmissionControl
 from orchidrail.admission.digest import ReceivedDigest, decode_digest
-from orchidrail.admission.durations import DurationRatios, RatioRange
+from orchidrail.admission.durations import RatioRange, TaskDurations
 from orchidrail.admission.forecast import Forecast, TenantRoom
 from orchidrail.admission.load_tracker import LoadSources, LoadTracker
 from orchidrail.admission.rejections import Rejection, check_known_job
@@ -12,7 +12,6 @@
 __all__ = (
     'AdmissionControl',
     'AdmissionSources',
-    'DurationRatios',
     'Forecast',
     'ForecastAccuracy',
     'LoadSources',
@@ -21,6 +20,7 @@
     'ReceivedDigest',
     'Rejection',
     'Standing',
+    'TaskDurations',
     'TenantRoom',
     'check_known_job',
     'decode_digest',
--- a/orchidrail/admission/control.py
+++ b/orchidrail/admission/control.py
@@ -9,6 +9,7 @@
 import structlog
 
 from orchidrail.admission.digest import RefusingGate, encode_digest
+from orchidrail.admission.durations import RatioRange
 from orchidrail.admission.forecast import (
     Forecast,
     JobNeed,
@@ -152,9 +153,9 @@
             ahead = load.ahead_of(need.rank, need.latest_start, need.size_class)
             start = forecast_start(need, load, ahead)
         self._sources.accuracy.expect(job_id, queue.name, start, now)
-        ratio = self._sources.load.durations.of(queue.name).median
         for step in spec.steps:
             if not step.after:
+                ratio = self._ratios(queue, step.estimate).median
                 row = waiting_row(
                     need.rank, need.latest_start, step, step.count, ratio
                 )
@@ -193,8 +194,9 @@
         forecast = self._forecast(job, load)
         elapsed = now - self._refused_at_by_job.get(job.job_id, now)
         useful = forecast.latest_useful_start - elapsed
+        possible = forecast.latest_possible_start - elapsed
         if journal_away and not worth_waiting(
-            unconfirmed, min(patience, useful)
+            unconfirmed, min(patience, possible)
         ):
             back_in = return_time(
                 job.job_id, expected_remaining(unconfirmed), 0, useful
@@ -249,7 +251,7 @@
             queue,
             load,
             need,
-            self._sources.load.durations.of(queue.name),
+            self._ratios(queue, max(step.estimate for step in job.spec.steps)),
             self._sources.accuracy.correction(queue.name, self._clock()),
             self._permitted_share(queue),
             forecast_limit_wait(job.tenant.name, need, load, room),
@@ -271,6 +273,9 @@
             over_share,
         )
 
+    def _ratios(self, queue: QueueSettings, estimate: Seconds) -> RatioRange:
+        return self._sources.load.durations.of(queue.name, estimate)
+
     def _permitted_share(self, queue: QueueSettings) -> float:
         if queue.advice is None:
             return 1
@@ -291,7 +296,7 @@
             round(now - gate.since, 2),
             round(max(0, start), 2),
             round(self._refused_takes(key, load), 2),
-            round(self._sources.load.durations.of(key.queue).high, 2),
+            round(self._sources.load.durations.longest(key.queue), 2),
             load.capacity,
         )
 
--- a/orchidrail/admission/digest.py
+++ b/orchidrail/admission/digest.py
@@ -32,8 +32,8 @@
         Seconds until a new job would start at the earliest.
     returning_takes : float
         Seconds that the refused work would take.
-    ratio : float
-        Longest likely duration of a task relative to its estimate.
+    longest : float
+        Longest likely duration of a task, seconds; 0 if not known.
     capacity : int
         Millicores by which its size classes are told apart.
     """
@@ -43,7 +43,7 @@
     for_s: Seconds
     start: Seconds
     returning_takes: Seconds
-    ratio: float
+    longest: Seconds
     capacity: int
 
 
@@ -136,8 +136,9 @@
 def remaining_use(
     gate: RefusingGate, queue: QueueSettings, spec: JobSpec
 ) -> Seconds:
-    """Return the seconds for which a start is of use to a caller."""
-    chain = critical_path_s(spec, queue, gate.ratio)
+    """Return the seconds for which a start may be of use to a caller."""
+    chain = critical_path_s(spec, queue)
+    chain = max(chain, gate.longest * len(spec.steps))
     return USELESS_AFTER * (queue.stretch * chain + queue.target) - chain
 
 
--- a/orchidrail/admission/durations.py
+++ b/orchidrail/admission/durations.py
@@ -1,23 +1,20 @@
-"""Durations of tasks relative to their callers' estimates, by queue."""
+"""Durations of tasks as predicted from their callers' estimates, by queue."""
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
-from orchidrail.decaying_histogram import DecayingHistogram
 from orchidrail.types import QueueName, Seconds
 
-#: Bounds of the ratios that are told apart: a hundredth to a hundred.
-_MIN_RATIO = 0.01
-_GROWTH = 1.1
-_BUCKETS = 97
-#: Number of tasks at which older ones lose half of their weight.
-_MAX_TOTAL = 256
-#: Number of tasks before a queue's own ratios are used.
+#: Weight of one task in the moments of its queue: some hundred tasks count.
+_WEIGHT = 0.01
+#: Number of tasks before a queue's own moments are used.
 _MIN_TASKS = 16
-#: Quantiles between which a ratio is taken to be.
-_LOW_SHARE, _HIGH_SHARE = 0.1, 0.9
-_MEDIAN_SHARE = 0.5
+#: Standard deviations to the 0.1 and 0.9 quantiles of a normal distribution.
+_QUANTILE_DEVIATIONS = 1.28
+#: Variance of the logarithm of estimates below which they all count as equal.
+_MIN_VARIANCE = 1e-6
 
 
 class RatioRange(NamedTuple):
@@ -32,24 +29,67 @@
 _UNKNOWN = RatioRange(0.5, 1, 2)
 
 
-class DurationRatios:
-    """Learns by queue how far callers' estimates are off.
+class _Moments:
+    """Decaying moments of the logarithms of estimates and durations."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.estimate: float = 0
+        self.duration: float = 0
+        self.estimate_variance: float = 0
+        self.duration_variance: float = 0
+        self.covariance: float = 0
+
+    def add(self, estimate: float, duration: float) -> None:
+        self.count += 1
+        weight = max(_WEIGHT, 1 / self.count)
+        kept = 1 - weight
+        off_estimate = estimate - self.estimate
+        off_duration = duration - self.duration
+        self.estimate += weight * off_estimate
+        self.duration += weight * off_duration
+        self.estimate_variance = kept * (
+            self.estimate_variance + weight * off_estimate**2
+        )
+        self.duration_variance = kept * (
+            self.duration_variance + weight * off_duration**2
+        )
+        self.covariance = kept * (
+            self.covariance + weight * off_estimate * off_duration
+        )
+
+    def predict(self, estimate: float) -> tuple[float, float]:
+        """Return the mean and deviation of a duration's logarithm."""
+        if self.estimate_variance < _MIN_VARIANCE:
+            mean = self.duration + estimate - self.estimate
+            return mean, math.sqrt(self.duration_variance)
+        slope = self.covariance / self.estimate_variance
+        left = self.duration_variance - slope * self.covariance
+        mean = self.duration + slope * (estimate - self.estimate)
+        return mean, math.sqrt(max(0, left))
+
+
+class TaskDurations:
+    """Learns by queue what tasks take, and what their estimates say of it.
+
+    Durations are predicted by a linear regression of logarithms, since the
+    durations of a queue may vary less than the estimates: a task with a very
+    short estimate then is not much shorter than the others.
 
     Examples
     --------
-    >>> ratios = DurationRatios()
-    >>> ratios.of(QueueName('q'))
+    >>> durations = TaskDurations()
+    >>> durations.of(QueueName('q'), estimate=1.0)
     RatioRange(low=0.5, median=1, high=2)
     >>> for _ in range(40):
-    ...     ratios.note(QueueName('q'), duration=3.0, estimate=1.0)
-    >>> 2.9 < ratios.of(QueueName('q')).median < 3.4
-    True
+    ...     durations.note(QueueName('q'), duration=3.0, estimate=1.0)
+    >>> round(durations.of(QueueName('q'), estimate=1.0).median, 3)
+    3.0
     """
 
     def __init__(self) -> None:
         """Start without observations."""
-        self._histogram_by_queue: dict[QueueName, DecayingHistogram] = {}
-        self._range_by_queue: dict[QueueName, RatioRange] = {}
+        self._moments_by_queue: dict[QueueName, _Moments] = {}
 
     def note(
         self, queue: QueueName, duration: Seconds, estimate: Seconds
@@ -57,29 +97,27 @@
         """Record the duration of a task that succeeded."""
         if duration <= 0 or estimate <= 0:
             return
-        histogram = self._histogram_by_queue.get(queue)
-        if histogram is None:
-            histogram = DecayingHistogram(
-                _MIN_RATIO, _GROWTH, _BUCKETS, _MAX_TOTAL
-            )
-            self._histogram_by_queue[queue] = histogram
-        histogram.add(duration / estimate)
-        self._range_by_queue.pop(queue, None)
-
-    def of(self, queue: QueueName) -> RatioRange:
-        """Return the range of ratios of a queue."""
-        found = self._range_by_queue.get(queue)
-        if found is None:
-            found = self._compute(queue)
-            self._range_by_queue[queue] = found
-        return found
-
-    def _compute(self, queue: QueueName) -> RatioRange:
-        histogram = self._histogram_by_queue.get(queue)
-        if histogram is None or histogram.total < _MIN_TASKS:
+        moments = self._moments_by_queue.get(queue)
+        if moments is None:
+            moments = _Moments()
+            self._moments_by_queue[queue] = moments
+        moments.add(math.log(estimate), math.log(duration))
+
+    def of(self, queue: QueueName, estimate: Seconds) -> RatioRange:
+        """Return the range of a task's duration relative to its estimate."""
+        moments = self._moments_by_queue.get(queue)
+        known = moments is not None and moments.count >= _MIN_TASKS
+        if moments is None or not known or estimate <= 0:
             return _UNKNOWN
-        return RatioRange(
-            histogram.quantile(_LOW_SHARE),
-            histogram.quantile(_MEDIAN_SHARE),
-            histogram.quantile(_HIGH_SHARE),
-        )
+        mean, deviation = moments.predict(math.log(estimate))
+        median = math.exp(mean) / estimate
+        factor = math.exp(_QUANTILE_DEVIATIONS * deviation)
+        return RatioRange(median / factor, median, median * factor)
+
+    def longest(self, queue: QueueName) -> Seconds:
+        """Return the 0.9 quantile of durations; 0 if they are not known."""
+        moments = self._moments_by_queue.get(queue)
+        if moments is None or moments.count < _MIN_TASKS:
+            return 0
+        deviation = math.sqrt(moments.duration_variance)
+        return math.exp(moments.duration + _QUANTILE_DEVIATIONS * deviation)
--- a/orchidrail/admission/load_tracker.py
+++ b/orchidrail/admission/load_tracker.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
-from orchidrail.admission.durations import DurationRatios
+from orchidrail.admission.durations import TaskDurations
 from orchidrail.admission.service_load import (
     RankClass,
     ServiceLoad,
@@ -128,7 +128,7 @@
     reserved: Callable[[ServiceName, int, int], int]
     clock: Callable[[], Seconds]
     wall_clock: Callable[[], Seconds]
-    durations: DurationRatios
+    durations: TaskDurations
 
 
 class LoadTracker:
@@ -194,8 +194,8 @@
             load = load_by_service.get(queue.service)
             if load is None:
                 continue
-            ratio = self._sources.durations.of(queue.name).median
             spec, count = waiting.step.spec, len(waiting.tasks)
+            ratio = self._sources.durations.of(queue.name, spec.estimate).median
             rank, latest_start = _order(waiting.timing, wall)
             row = waiting_row(rank, latest_start, spec, count, ratio)
             load.add_waiting(row._replace(tenant=waiting.step.job.tenant.name))
@@ -209,7 +209,9 @@
             spec, job = run.task.step.spec, run.task.step.job
             if spec.lasting:
                 continue
-            ratio = self._sources.durations.of(job.queue.name).median
+            ratio = self._sources.durations.of(
+                job.queue.name, spec.estimate
+            ).median
             remaining = _remaining_s(run, ratio * spec.estimate, now)
             load.add_release(remaining, run.size.millicores, job.urgent)
             load.add_running(job.tenant.name, remaining * run.size.millicores)
--- a/orchidrail/admission/tests/cell.py
+++ b/orchidrail/admission/tests/cell.py
@@ -9,10 +9,10 @@
 from orchidrail.admission import (
     AdmissionControl,
     AdmissionSources,
-    DurationRatios,
     ForecastAccuracy,
     LoadSources,
     Rejection,
+    TaskDurations,
     TenantRoom,
 )
 from orchidrail.metrics import InstanceMetrics
@@ -83,7 +83,7 @@
             for number in range(workers)
         ]
         self.waiting: list[FakeWaiting] = []
-        self.durations = DurationRatios()
+        self.durations = TaskDurations()
         self.accuracy = ForecastAccuracy()
         self.metrics = InstanceMetrics()
         self.control = AdmissionControl(
--- a/orchidrail/admission/tests/test_accuracy.py
+++ b/orchidrail/admission/tests/test_accuracy.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from testtools import TestCase
 
 from orchidrail.admission.accuracy import ForecastAccuracy
-from orchidrail.admission.durations import DurationRatios
+from orchidrail.admission.durations import TaskDurations
 from orchidrail.types import JobId, QueueName, Seconds
 
 _QUEUE = QueueName('q')
@@ -46,24 +48,47 @@
         self.assertIsNone(self.accuracy.note_start(JobId('x'), 1))
 
 
-class DurationRatiosTest(TestCase):
+class TaskDurationsTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.durations = TaskDurations()
+
     def test_few_tasks_say_nothing(self) -> None:
-        ratios = DurationRatios()
         for _ in range(5):
-            ratios.note(_QUEUE, 9, 1)
-        self.assertEqual((0.5, 1, 2), ratios.of(_QUEUE))
+            self.durations.note(_QUEUE, 9, 1)
+        self.assertEqual((0.5, 1, 2), self.durations.of(_QUEUE, 1))
+        self.assertEqual(0, self.durations.longest(_QUEUE))
 
     def test_old_tasks_lose_weight(self) -> None:
-        ratios = DurationRatios()
         for _ in range(300):
-            ratios.note(_QUEUE, 1, 1)
-        for _ in range(400):
-            ratios.note(_QUEUE, 4, 1)
-        self.assertGreater(ratios.of(_QUEUE).median, 3.9)
+            self.durations.note(_QUEUE, 1, 1)
+        for _ in range(500):
+            self.durations.note(_QUEUE, 4, 1)
+        self.assertGreater(self.durations.of(_QUEUE, 1).median, 3.9)
 
     def test_invalid_durations_are_ignored(self) -> None:
-        ratios = DurationRatios()
         for _ in range(50):
-            ratios.note(_QUEUE, 0, 1)
-            ratios.note(_QUEUE, 1, 0)
-        self.assertEqual(1, ratios.of(_QUEUE).median)
+            self.durations.note(_QUEUE, 0, 1)
+            self.durations.note(_QUEUE, 1, 0)
+        self.assertEqual(1, self.durations.of(_QUEUE, 1).median)
+        self.assertEqual(1, self.durations.of(_QUEUE, 0).median)
+
+    def test_good_estimates_are_believed(self) -> None:
+        random = Random(1)
+        for _ in range(500):
+            actual = random.lognormvariate(0, 0.5)
+            self.durations.note(_QUEUE, actual, actual / 2)
+        ratios = self.durations.of(_QUEUE, 5)
+        self.assertGreater(ratios.low, 1.9)
+        self.assertLess(ratios.high, 2.1)
+
+    def test_a_very_short_estimate_of_a_rough_queue_is_not(self) -> None:
+        """Estimates vary more than durations, so they say little."""
+        random = Random(1)
+        for _ in range(500):
+            actual = random.lognormvariate(0, 0.3)
+            estimate = actual * random.lognormvariate(0, 1)
+            self.durations.note(_QUEUE, actual, estimate)
+        expected = 0.05 * self.durations.of(_QUEUE, 0.05).median
+        self.assertGreater(expected, 0.5)
+        self.assertTrue(1 < self.durations.longest(_QUEUE) < 2)
--- a/orchidrail/deciding/estimates.py
+++ b/orchidrail/deciding/estimates.py
@@ -2,16 +2,48 @@
 
 from __future__ import annotations
 
-from orchidrail.decaying_histogram import DecayingHistogram
+import math
+
 from orchidrail.types import ClassName, Seconds, TenantId
 
 _BUCKETS = 48
 _MIN_BOUND: Seconds = 0.001
 _GROWTH = 1.5
+#: Counts are halved at this total, so that old values lose weight.
+_MAX_TOTAL = 1024
+
+
+class _Histogram:
+    """Histogram with geometrically growing bucket bounds."""
+
+    def __init__(self) -> None:
+        self.counts = [0 for _ in range(_BUCKETS)]
+        self.total = 0
+
+    def add(self, value: Seconds) -> None:
+        """Count one value, in seconds."""
+        self.counts[_bucket(value)] += 1
+        self.total += 1
+        if self.total >= _MAX_TOTAL:
+            self.counts = [count // 2 for count in self.counts]
+            self.total = sum(self.counts)
+
+    def quantile(self, share: float) -> Seconds:
+        """Return the upper bound of the bucket of quantile `share`."""
+        target = share * self.total
+        cumulative = 0
+        for index, count in enumerate(self.counts):
+            cumulative += count
+            if cumulative >= target:
+                return _MIN_BOUND * _GROWTH**index
+        return _MIN_BOUND * _GROWTH ** (_BUCKETS - 1)
 
 
-def _new_histogram() -> DecayingHistogram:
-    return DecayingHistogram(_MIN_BOUND, _GROWTH, _BUCKETS)
+def _bucket(value: Seconds) -> int:
+    if value <= _MIN_BOUND:
+        return 0
+    index = math.ceil(math.log(value / _MIN_BOUND, _GROWTH))
+    return min(_BUCKETS - 1, index)
 
 
 class RunTimes:
@@ -30,7 +62,7 @@
 
     def __init__(self) -> None:
         """Start without observations."""
-        self._by_origin: dict[tuple[str, str], DecayingHistogram] = {}
+        self._by_origin: dict[tuple[str, str], _Histogram] = {}
 
     def add(
         self,
@@ -40,7 +72,7 @@
     ) -> None:
         """Record one run time."""
         histogram = self._by_origin.setdefault(
-            (tenant, class_name), _new_histogram()
+            (tenant, class_name), _Histogram()
         )
         histogram.add(seconds)
 
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from orchidrail.admission import DurationRatios, ForecastAccuracy
+from orchidrail.admission import ForecastAccuracy, TaskDurations
 from orchidrail.journal import JournalWriter
 from orchidrail.journal.writer import Commit
 from orchidrail.metrics import InstanceMetrics
@@ -100,7 +100,7 @@
         #: Runs that a previous owner placed on workers that have not responded.
         self.unresolved_runs = UnresolvedRuns(self.ledger)
         self.speeds = SpeedEstimator()
-        self.durations = DurationRatios()
+        self.durations = TaskDurations()
         self.accuracy = ForecastAccuracy()
         #: Set when tasks may have become placeable.
         self.pass_requested = asyncio.Event()
