--- a/orchidrail/admission/accuracy.py
+++ b/orchidrail/admission/accuracy.py
@@ -1,7 +1,8 @@
 """Correction of forecasts by how earlier ones turned out.
 
 Answers delays that the model of the room does not know: waits for advice, a
-busy owner, a slow journal, a worker pool that is slower than its estimates.
+busy owner, workers that are slower than expected. Jobs that an outage of the
+journal held up say nothing about those that come after it.
 """
 
 from __future__ import annotations
@@ -88,6 +89,10 @@
         )
         return error
 
+    def discard_open(self) -> None:
+        """Drop the open forecasts: something else held up their jobs."""
+        self._open_by_job.clear()
+
     def correction(self, queue: QueueName, now: Seconds) -> StartRange:
         """Return what is to be added to a modelled start, seconds."""
         known = self._decayed(queue, now)
--- a/orchidrail/admission/control.py
+++ b/orchidrail/admission/control.py
@@ -15,6 +15,7 @@
     JobNeed,
     applies_to,
     assess,
+    correct_start,
     forecast_limit_wait,
     forecast_start,
     job_need,
@@ -190,6 +191,8 @@
         journal_away = unconfirmed > _JOURNAL_AWAY_AFTER
         if not load.pressed and not journal_away:
             return None
+        if journal_away:
+            self._sources.accuracy.discard_open()
         now = self._clock()
         forecast = self._forecast(job, load)
         elapsed = now - self._refused_at_by_job.get(job.job_id, now)
@@ -289,12 +292,14 @@
         need = JobNeed(key.rank, wall, 0, 0, 0, key.size_class)
         ahead = load.ahead_of(key.rank, wall, key.size_class)
         correction = self._sources.accuracy.correction(key.queue, now)
-        start = forecast_start(need, load, ahead) + correction.earliest
+        start = correct_start(
+            forecast_start(need, load, ahead), correction
+        ).earliest
         return RefusingGate(
             key.queue,
             int(key.size_class),
             round(now - gate.since, 2),
-            round(max(0, start), 2),
+            round(start, 2),
             round(self._refused_takes(key, load), 2),
             round(self._sources.load.durations.longest(key.queue), 2),
             load.capacity,
--- a/orchidrail/admission/forecast.py
+++ b/orchidrail/admission/forecast.py
@@ -206,6 +206,25 @@
     return duration
 
 
+def correct_start(modelled: Seconds, correction: StartRange) -> StartRange:
+    """Return the start of a job after correction.
+
+    A correction may double a forecast but does not make one: errors of the
+    past are no evidence of a wait where nothing waits now.
+
+    Examples
+    --------
+    >>> correct_start(2, StartRange(0.5, 1))
+    StartRange(earliest=2.5, expected=3)
+    >>> correct_start(0, StartRange(4, 5))
+    StartRange(earliest=0, expected=0)
+    """
+    return StartRange(
+        modelled + max(-modelled, min(modelled, correction.earliest)),
+        modelled + max(-modelled, min(modelled, correction.expected)),
+    )
+
+
 def assess(
     spec: JobSpec,
     queue: QueueSettings,
@@ -228,10 +247,7 @@
     """
     ahead = load.ahead_of(need.rank, need.latest_start, need.size_class)
     modelled = max(limit_wait, forecast_start(need, load, ahead))
-    start = StartRange(
-        max(0, modelled + correction.earliest),
-        max(0, modelled + correction.expected),
-    )
+    start = correct_start(modelled, correction)
     durations = [
         forecast_duration(spec, queue, load, ratio, permitted_share)
         for ratio in (ratios.median, ratios.high)
--- a/orchidrail/admission/tests/test_accuracy.py
+++ b/orchidrail/admission/tests/test_accuracy.py
@@ -44,6 +44,13 @@
         correction = self.accuracy.correction(QueueName('other'), 0)
         self.assertEqual((-1, 0), correction)
 
+    def test_jobs_held_up_by_an_outage_say_nothing(self) -> None:
+        """The journal was away for 2 s; what comes after it starts at once."""
+        self.accuracy.expect(JobId('a'), _QUEUE, 0, now=0)
+        self.accuracy.discard_open()
+        self.assertIsNone(self.accuracy.note_start(JobId('a'), 2))
+        self.assertEqual(0, self.accuracy.correction(_QUEUE, 2).expected)
+
     def test_jobs_without_a_forecast_are_ignored(self) -> None:
         self.assertIsNone(self.accuracy.note_start(JobId('x'), 1))
 
--- a/orchidrail/admission/tests/test_control.py
+++ b/orchidrail/admission/tests/test_control.py
@@ -154,7 +154,33 @@
         self.assertEqual('job refused by forecast', lines[0]['event'])
 
 
+class CorrectionTest(TestCase):
+    def test_late_starts_before_do_not_refuse_where_little_waits(self) -> None:
+        """Half a second of work waits, and earlier jobs were 5 s late.
+
+        On a busy owner those errors outlived their cause by seconds, in which
+        some hundred jobs were refused that would have started at once.
+        """
+        cell = CellView()
+        for number in range(100):
+            cell.accuracy.expect(JobId(f'{number}'), _URGENT.name, 0, cell.now)
+            cell.accuracy.note_start(JobId(f'{number}'), cell.now + 5)
+        cell.now += 5
+        queue = make_queue(priority=0, stretch=1, target=0.3)
+        cell.fill_workers(queue, make_spec(1, cores=10))
+        cell.queue_up(queue, make_spec(10, estimate=0.5), 1)
+        for number in range(20):
+            self.assertIsNone(cell.find(f'job-{number}', queue, _TASK))
+
+
 class JournalTest(TestCase):
+    def test_an_outage_drops_the_forecasts_made_before(self) -> None:
+        cell = CellView()
+        self.assertIsNone(cell.find('job', _URGENT, _TASK))
+        cell.unconfirmed = 1
+        self.assertIsNone(cell.find('other', _URGENT, _TASK, patience=2.9))
+        self.assertIsNone(cell.accuracy.note_start(JobId('job'), 102))
+
     def test_a_short_outage_holds_the_caller(self) -> None:
         cell = CellView()
         for seconds in (0.5, 1, 2):
