--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,9 @@
 _PREFIXES = 'q', 'advised'
 _DEADLINE_SECONDS = 3.0
 _MAX_TRIES = 4
+#: Pause before another try, where the answer names none, and the longest one.
+_RETRY_PAUSE = 0.2
+_MAX_RETURN = 5.0
 _POLL_INTERVAL = 0.4
 _CRASHING_SHARE = 0.02
 _ALWAYS_FAILING_SHARE = 0.05
@@ -106,6 +109,12 @@
 )
 
 
+def _return_time(response: aiohttp.ClientResponse) -> float:
+    """Return the seconds after which to retry, as the response says."""
+    told = response.headers.get('Retry-After', '')
+    return min(float(told), _MAX_RETURN) if told.isdigit() else _RETRY_PAUSE
+
+
 class Callers:
     """Submits jobs at a given rate to addresses chosen at random."""
 
@@ -249,7 +258,7 @@
             if status == 404:
                 self._ledger.report_violation('CONFIG', f'{job.job_id} got 404')
             job.uncertain = job.uncertain or not rejected
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(job.return_in)
 
     async def cancel(self, job: SentJob) -> int:
         """Send one cancel request for a job; return the status."""
@@ -291,6 +300,7 @@
                 headers=headers,
             ) as response:
                 raw = await response.read()
+                job.return_in = _return_time(response)
         except aiohttp.ClientConnectorError:
             return -1
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -49,6 +49,8 @@
     advised: bool = False
     accepted: bool = False
     accepted_at: float | None = None
+    #: Seconds after which its caller tries again.
+    return_in: float = 0.2
     #: Whether a try without a clear response may have submitted it.
     uncertain: bool = False
     cancel_sent: bool = False
