Play case 1 with three episodes of loss

Cause: with two episodes one run in five showed nothing, as no answer of a poll was overtaken in it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,7 +35,7 @@
 _LOSS = 0.3
 _LOSS_SECONDS = 5.0
 #: It may come more than once.
-_TIMES = 2
+_TIMES = 3
 _PAUSE_SECONDS = 8.0
 #: LOST holds at any time if the 3 s and the 4 s before them are calm.
 _CALM_SECONDS = 4.0
