--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,15 +6,14 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import sys
 from collections import Counter
 
+from review.standins.case import BROKEN, HELD, play_case
 from review.standins.cell import ESTRELA, Cell
 from review.standins.record import Record
 
-_FOLDER = pathlib.Path(__file__).parent
 _WORKERS = 6
 _MACHINES = 4
 _WORK_SECONDS = 0.64
@@ -40,7 +39,6 @@
 #: LOST holds at any time if the 3 s and the 4 s before them are calm.
 _CALM_SECONDS = 4.0
 _IDLE_SECONDS = 3.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 class _Load:
@@ -86,7 +84,7 @@
     return found
 
 
-async def _play(record: Record, *, trouble: bool) -> int:
+async def _play(record: Record, trouble: bool) -> int:
     async with Cell(
         record, _WORKERS, _MACHINES, lambda _: _WORK_SECONDS, ESTRELA
     ) as cell:
@@ -124,18 +122,5 @@
     return BROKEN if breaches else HELD
 
 
-def main() -> int:
-    """Play the case once and return the exit code."""
-    record = Record(_FOLDER / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
-    try:
-        return asyncio.run(_play(record, trouble=trouble))
-    except (OSError, TimeoutError, RuntimeError) as error:
-        record.note(f'not run: {error!r}')
-        return NOT_RUN
-    finally:
-        record.write()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(play_case(pathlib.Path(__file__).parent, _play))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import sys
 
+from review.standins.case import BROKEN, HELD, NOT_RUN, play_case
 from review.standins.cell import Cell
 from review.standins.record import Record
 
-_FOLDER = pathlib.Path(__file__).parent
 _WORKERS = 6
 _MACHINES = 3
 _JOBS = 25
@@ -27,7 +26,6 @@
 _ALL_STARTED_WITHIN = 8.0
 _ALL_DONE_WITHIN = 30.0
 _ENDS_IN_ONE_ANSWER = 500
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 def _job(number: int) -> str:
@@ -43,7 +41,7 @@
     return True
 
 
-async def _play(record: Record, *, trouble: bool) -> int:
+async def _play(record: Record, trouble: bool) -> int:
     async with Cell(
         record, _WORKERS, _MACHINES, lambda _: _WORK_SECONDS
     ) as cell:
@@ -94,18 +92,5 @@
     return BROKEN if breaches else HELD
 
 
-def main() -> int:
-    """Play the case once and return the exit code."""
-    record = Record(_FOLDER / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
-    try:
-        return asyncio.run(_play(record, trouble=trouble))
-    except (OSError, TimeoutError, RuntimeError) as error:
-        record.note(f'not run: {error!r}')
-        return NOT_RUN
-    finally:
-        record.write()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(play_case(pathlib.Path(__file__).parent, _play))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import sys
 
+from review.standins.case import BROKEN, HELD, NOT_RUN, play_case
 from review.standins.cell import Cell
 from review.standins.record import Record
 
-_FOLDER = pathlib.Path(__file__).parent
 _WORKERS = 24
 _MACHINES = 3
 _WORK_SECONDS = 3.0
@@ -36,12 +35,14 @@
 _USUAL_JOBS = 6
 #: LOST: a job has nothing running for 3 s, while a task's turn has come.
 _IDLE_SECONDS = 3.0
+#: The sheet's retries of a client, and the `Retry-After` of a refusal.
+_CLIENT_TRIES = 5
+_RETRY_SECONDS = 1.0
 _WATCH_SECONDS = 30.0
 _LOOKS_BETWEEN_JOBS = 20
 _TICK = 0.1
 #: Tasks of 0.5 cores that take up half of the service's 1,536 cores.
 _HALF_OF_CAPACITY = 1536
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 def _job(number: int) -> str:
@@ -89,7 +90,7 @@
                 )
 
 
-async def _play(record: Record, *, trouble: bool) -> int:
+async def _play(record: Record, trouble: bool) -> int:
     async with Cell(
         record, _WORKERS, _MACHINES, lambda _: _WORK_SECONDS
     ) as cell:
@@ -104,9 +105,12 @@
             accepted[job] = len(_USUAL)
         await asyncio.sleep(1)
         if trouble:
-            status = await cell.submit(_LARGE_JOB, _LARGE, 1)
-            if status == 200:
-                accepted[_LARGE_JOB] = 1
+            for _ in range(_CLIENT_TRIES):
+                status = await cell.submit(_LARGE_JOB, _LARGE, 1)
+                if status == 200:
+                    accepted[_LARGE_JOB] = 1
+                    break
+                await asyncio.sleep(_RETRY_SECONDS)
         until = record.now() + _WATCH_SECONDS
         later = _USUAL_JOBS
         while record.now() < until:
@@ -127,18 +131,5 @@
     return BROKEN if watch.breaches else HELD
 
 
-def main() -> int:
-    """Play the case once and return the exit code."""
-    record = Record(_FOLDER / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
-    try:
-        return asyncio.run(_play(record, trouble=trouble))
-    except (OSError, TimeoutError, RuntimeError) as error:
-        record.note(f'not run: {error!r}')
-        return NOT_RUN
-    finally:
-        record.write()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(play_case(pathlib.Path(__file__).parent, _play))
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,7 +9,7 @@
 
 for path in sorted(pathlib.Path('review').rglob('*.py')):
     compile(path.read_text(), str(path), 'exec')
-for name in ('cell', 'proxy', 'record', 'store', 'web', 'worker'):
+for name in ('case', 'cell', 'proxy', 'record', 'store', 'web', 'worker'):
     importlib.import_module(f'review.standins.{name}')
 sys.stdout.write('stand-ins built\n')
 END
