Review case 2: submit its jobs more slowly

Cause: 500 starts a second leave little room on a slower machine, where the tasks would spread over several workers and the case could not run.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,7 @@
     {'count': _TASKS, 'cpu': 100, 'memMb': 50, 'estimatedMs': 9000}
 ]
 _WORK_SECONDS = 9.0
+_BETWEEN_JOBS = 0.1
 #: Dose of `node_cut` with `servers` on the site: a share of 0.17, for 5.5 s.
 _CUT_SECONDS = 5.0
 _ALL_STARTED_WITHIN = 8.0
@@ -37,7 +38,7 @@
         status = await cell.submit(_job(number), _PHASES, number % _MACHINES)
         if status != 200:
             return False
-        await asyncio.sleep(0.04)
+        await asyncio.sleep(_BETWEEN_JOBS)
     return True
 
 
