--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,9 +10,9 @@
 import sys
 from collections import Counter
 
-from review.standins.case import BROKEN, HELD, play_case
-from review.standins.cell import ESTRELA, Cell
-from review.standins.record import Record
+from review.case import BROKEN, HELD, play_case
+from review.cell import ESTRELA, Cell
+from review.record import Record
 
 _WORKERS = 6
 _MACHINES = 4
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,9 +9,9 @@
 import pathlib
 import sys
 
-from review.standins.case import BROKEN, HELD, NOT_RUN, play_case
-from review.standins.cell import Cell
-from review.standins.record import Record
+from review.case import BROKEN, HELD, NOT_RUN, play_case
+from review.cell import Cell
+from review.record import Record
 
 _WORKERS = 24
 _MACHINES = 3
--- a/review/build.sh
+++ b/review/build.sh
@@ -10,6 +10,6 @@
 for path in sorted(pathlib.Path('review').rglob('*.py')):
     compile(path.read_text(), str(path), 'exec')
 for name in ('case', 'cell', 'proxy', 'record', 'store', 'web', 'worker'):
-    importlib.import_module(f'review.standins.{name}')
+    importlib.import_module(f'review.{name}')
 sys.stdout.write('stand-ins built\n')
 END
--- a/review/standins/case.py
+++ b/review/case.py
@@ -10,7 +10,7 @@
 import traceback
 from collections.abc import Awaitable, Callable
 
-from review.standins.record import Record
+from review.record import Record
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
--- a/review/standins/cell.py
+++ b/review/cell.py
@@ -18,16 +18,16 @@
 from contextlib import AsyncExitStack
 from typing import NamedTuple
 
-from review.standins.proxy import Link
-from review.standins.record import Record
-from review.standins.store import Store
-from review.standins.web import Site, request
-from review.standins.worker import Worker
+from review.proxy import Link
+from review.record import Record
+from review.store import Store
+from review.web import Site, request
+from review.worker import Worker
 from soak.networks import claim_network
 
 HOST = 'nony24.example'
 PREFIX = '/lohu930/'
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 
 
 class Deployment(NamedTuple):
--- a/review/standins/store.py
+++ b/review/store.py
@@ -7,7 +7,7 @@
 import struct
 from contextlib import suppress
 
-from review.standins.web import Call, Reply, reply_json
+from review.web import Call, Reply, reply_json
 
 _LENGTH = struct.Struct('>I')
 _POSITIONS = struct.Struct('>QQ')
--- a/review/standins/worker.py
+++ b/review/worker.py
@@ -9,9 +9,9 @@
 from contextlib import suppress
 from typing import Any
 
-from review.standins.record import Record, Run
-from review.standins.store import Store
-from review.standins.web import Call, Reply, Site, reply_json
+from review.record import Record, Run
+from review.store import Store
+from review.web import Call, Reply, Site, reply_json
 
 MAX_HOLD_SECONDS = 6.0
 HEARTBEAT_SECONDS = 1.5
