Log adopted runs and listings that a newer one has overtaken

New: `run adopted` with the listing's clock, `listing superseded by a newer one`, `orchidrail_superseded_listings_total`. Decisions are unchanged.

--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -212,6 +212,23 @@
         )
 
 
+class ListingMetrics:
+    """Metrics of what workers list of their runs."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.runs_missing = Counter(
+            'orchidrail_runs_not_listed',
+            'Runs taken for gone since their worker listed no end of them.',
+            registry=registry,
+        )
+        self.superseded = Counter(
+            'orchidrail_superseded_listings',
+            'Listings of workers that arrived after a newer one.',
+            registry=registry,
+        )
+
+
 class InstanceMetrics:
     """Metrics of the process of one instance."""
 
@@ -222,6 +239,7 @@
         self._tenant_labels = LabelLimiter(_MAX_LABEL_VALUES)
         self.preemption = PreemptionMetrics(self.registry)
         self.evacuation = EvacuationMetrics(self.registry)
+        self.listings = ListingMetrics(self.registry)
         self.submissions = self._counter(
             'submissions',
             'Submissions answered to callers, by queue and outcome.',
@@ -250,10 +268,6 @@
             'is counted once while it has the same one.',
             'flaw',
         )
-        self.runs_not_listed = self._counter(
-            'runs_not_listed',
-            'Runs taken for gone since their worker listed no end of them.',
-        )
         self.task_crashes = self._counter(
             'task_crashes',
             'Runs under which a worker ended, by queue and what became of '
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -185,7 +185,7 @@
         seen: set[RunKey] = set()
         for active in listing.active:
             seen.add(active.key)
-            self._apply_active(tracked, active)
+            self._apply_active(tracked, active, listing)
         for ended in listing.ended:
             seen.add(ended.key)
             self._ends.apply_end(tracked, ended)
@@ -218,7 +218,7 @@
         listing: Listing,
     ) -> None:
         """Log why a run is presumed ended without a report of its end."""
-        self._state.metrics.runs_not_listed.inc()
+        self._state.metrics.listings.runs_missing.inc()
         if run.is_unconfirmed:
             tracked.session.invalidate_orders()
         acknowledged, received = tracked.session.ending_progress
@@ -235,6 +235,17 @@
             heard=received,
         )
 
+    def on_superseded(self, session: WorkerSession, listing: Listing) -> None:
+        """See `Observer.on_superseded`."""
+        self._state.metrics.listings.superseded.inc()
+        _log.info(
+            'listing superseded by a newer one',
+            worker=session.worker,
+            clock=round(listing.clock, 3),
+            active=len(listing.active),
+            ended=len(listing.ended),
+        )
+
     def on_incarnation_ended(self, session: WorkerSession) -> None:
         """See `Observer.on_incarnation_ended`."""
         tracked = self._state.tracked_by_worker.get(session.worker)
@@ -474,10 +485,20 @@
                 )
                 self.stop(tracked, run)
 
-    def _apply_active(self, tracked: TrackedWorker, active: ActiveRun) -> None:
+    def _apply_active(
+        self, tracked: TrackedWorker, active: ActiveRun, listing: Listing
+    ) -> None:
         run = tracked.run_by_key.get(active.key)
         if run is None:
             run = self._inherited.adopt(tracked, active)
+            _log.info(
+                'run adopted',
+                task=run.key.task,
+                run=run.key.run,
+                worker=tracked.worker,
+                clock=round(listing.clock, 3),
+                job_open=run.task is not None,
+            )
         now = self._state.clock()
         note_progress(run, active.share_done, now)
         note_latency(run, active.load / _MILLIS, now)
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -71,6 +71,9 @@
         The writes to complete before its endings may be acknowledged.
         """
 
+    def on_superseded(self, session: WorkerSession, listing: Listing) -> None:
+        """Handle a listing that a newer one has overtaken."""
+
     def on_incarnation_ended(self, session: WorkerSession) -> None:
         """Handle that no run of this incarnation is left."""
 
@@ -139,6 +142,9 @@
         self._failures = 0
         self._last_seen = 0
         self._last_received = 0
+        #: Worker's clock in the newest listing applied, and when it arrived.
+        self._newest_clock: Seconds = -math.inf
+        self._newest_received_at: Seconds = -math.inf
 
     @property
     def next_incarnation(self) -> WorkerId | None:
@@ -312,6 +318,10 @@
         self._failures = 0
         self.fence_raised = True
         self.lost_at = None
+        if self._is_superseded(listing, sent_at):
+            self._observer.on_superseded(self, listing)
+        self._newest_clock = max(self._newest_clock, listing.clock)
+        self._newest_received_at = self._clock()
         writes = self._observer.on_listing(self, listing, sent_at)
         numbers = [ended.number for ended in listing.ended]
         if not numbers:
@@ -320,6 +330,16 @@
         if await _all_written(writes):
             self._last_seen = max(self._last_seen, *numbers)
 
+    def _is_superseded(self, listing: Listing, sent_at: Seconds) -> bool:
+        """Whether a listing may be older than the newest one applied.
+
+        A listing requested after the newest one arrived is certainly newer.
+        Listings of polls that overlap are ordered by the worker's clock, which
+        has a resolution of milliseconds.
+        """
+        overlapping = sent_at < self._newest_received_at
+        return overlapping and listing.clock <= self._newest_clock
+
     def _handle_other_incarnation(
         self,
         born: int | None,
--- a/orchidrail/workers/tests/test_session.py
+++ b/orchidrail/workers/tests/test_session.py
@@ -22,9 +22,13 @@
     def __init__(self) -> None:
         self.written: asyncio.Future[bool] | None = None
         self.listings: list[Listing] = []
+        self.superseded: list[Listing] = []
         self.ended = 0
         self.fenced = 0
 
+    def on_superseded(self, session: WorkerSession, listing: Listing) -> None:
+        self.superseded.append(listing)
+
     def on_listing(
         self,
         session: WorkerSession,
