Ignore listings of a worker that a newer one has overtaken

Cause: polls of a worker overlap (a long one and the ones beside it), and lost packets delay single answers. A listing made before a run's end and applied after the one that reports the end shows the run as active. It was adopted as a run of a previous owner; its job is over, so its size is unknown and the worker gets no work.

Change: the session orders listings and drops superseded ones. A poll sent after the newest listing arrived is newer; overlapping ones go by the worker's clock, equal clocks count as older. Nothing is lost: ends are listed again until they are acknowledged.

Invariant: what is applied of a worker's runs never goes back in time. Kept by `WorkerSession._is_superseded`, before any observer sees a listing.

The tests fail without the change ([1, 0, 0] != [1, 0, 1, 0]).

--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -72,7 +72,7 @@
         """
 
     def on_superseded(self, session: WorkerSession, listing: Listing) -> None:
-        """Handle a listing that a newer one has overtaken."""
+        """Handle a listing that is ignored, as a newer one was applied."""
 
     def on_incarnation_ended(self, session: WorkerSession) -> None:
         """Handle that no run of this incarnation is left."""
@@ -320,7 +320,8 @@
         self.lost_at = None
         if self._is_superseded(listing, sent_at):
             self._observer.on_superseded(self, listing)
-        self._newest_clock = max(self._newest_clock, listing.clock)
+            return
+        self._newest_clock = listing.clock
         self._newest_received_at = self._clock()
         writes = self._observer.on_listing(self, listing, sent_at)
         numbers = [ended.number for ended in listing.ended]
@@ -333,9 +334,10 @@
     def _is_superseded(self, listing: Listing, sent_at: Seconds) -> bool:
         """Whether a listing may be older than the newest one applied.
 
-        A listing requested after the newest one arrived is certainly newer.
-        Listings of polls that overlap are ordered by the worker's clock, which
-        has a resolution of milliseconds.
+        It would show ended runs as active. A listing requested after the newest
+        one arrived is certainly newer; those of overlapping polls are ordered
+        by the worker's clock, which has a resolution of milliseconds. The
+        endings of an ignored listing are listed again until acknowledged.
         """
         overlapping = sent_at < self._newest_received_at
         return overlapping and listing.clock <= self._newest_clock
--- a/orchidrail/workers/tests/test_session.py
+++ b/orchidrail/workers/tests/test_session.py
@@ -8,7 +8,16 @@
 from testtools import TestCase
 
 from orchidrail.types import Epoch, RunNumber, Seconds, TaskKey
-from orchidrail.workers.port import Listing, OrderResult, RunEnding, RunKey
+from orchidrail.workers.port import (
+    ActiveRun,
+    HoldOrder,
+    Listing,
+    OrderAnswer,
+    OrderResult,
+    RunEnding,
+    RunKey,
+    WorkerEntry,
+)
 from orchidrail.workers.run_lease import RunLease
 from orchidrail.workers.session import WorkerSession
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
@@ -47,6 +56,25 @@
         self.fenced += 1
 
 
+class _SlowLink(FakeWorker):
+    """Worker whose next response is delivered when the test says so."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delivered = asyncio.Event()
+        self.delivered.set()
+
+    async def hold(
+        self, entry: WorkerEntry, order: HoldOrder, timeout: Seconds
+    ) -> Listing | OrderAnswer:
+        delivered = self.delivered
+        self.delivered = asyncio.Event()
+        self.delivered.set()
+        answer = await super().hold(entry, order, timeout)
+        await delivered.wait()
+        return answer
+
+
 class SessionTest(TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -200,3 +228,60 @@
 
         asyncio.run(run_scenario())
         self.assertEqual(0, self.observer.fenced)
+
+    def test_a_listing_overtaken_by_a_newer_one_is_ignored(self) -> None:
+        """Two polls overlap, and a lost packet delays the older listing.
+
+        It shows a run as active whose end the newer one has reported. Applied,
+        it made the owner take that run for one of a previous owner, and keep
+        new work off the worker.
+        """
+
+        async def run_scenario() -> None:
+            await self._poll_with_delayed_listing()
+            self.now += 1
+            await self.session._poll()
+
+        self._use_slow_link()
+        asyncio.run(run_scenario())
+        active = [len(listing.active) for listing in self.observer.listings]
+        self.assertEqual([1, 0, 0], active)
+        self.assertEqual(1, len(self.observer.superseded))
+        self.assertEqual((1, 1), self.session.ending_progress)
+
+    def test_of_listings_with_equal_clocks_the_first_counts(self) -> None:
+        """The worker's clock has a resolution of milliseconds."""
+        self._use_slow_link()
+        asyncio.run(self._poll_with_delayed_listing(clock_step=0))
+        active = [len(listing.active) for listing in self.observer.listings]
+        self.assertEqual([1, 0], active)
+
+    def test_overlapping_listings_in_order_are_applied(self) -> None:
+        async def run_scenario() -> None:
+            for clock in (100, 100.1):
+                listing = Listing(clock, [], [])
+                await self.session._handle_listing(listing, sent_at=49.9)
+
+        asyncio.run(run_scenario())
+        self.assertEqual(2, len(self.observer.listings))
+        self.assertEqual([], self.observer.superseded)
+
+    def _use_slow_link(self) -> None:
+        self.worker = _SlowLink()
+        self.session._calls = self.worker
+
+    async def _poll_with_delayed_listing(self, clock_step: float = 0.1) -> None:
+        """Deliver the listing of one poll after that of a later one."""
+        self.worker.active[_KEY] = ActiveRun(_KEY, '', 0)
+        await self.session._poll()
+        self.now += 0.1
+        self.worker.delivered.clear()
+        delivered = self.worker.delivered
+        older = asyncio.create_task(self.session._poll())
+        await asyncio.sleep(0.02)
+        self.worker.end(_KEY, RunEnding.DONE)
+        self.worker.clock += clock_step
+        self.now += 0.1
+        await self.session._poll_once(0)
+        delivered.set()
+        await older
