Release a stopped run that its worker no longer lists

Cause: each confirmed stop moved `confirmed_at` to `stop_ms` ahead, and stops were sent every 0.3 s. A listing without the run counts only if its poll was sent after `confirmed_at`. With `stop_ms` 900 that is never; with 200 now and then.

Change: only the first confirmation sets the time. Stop orders that the worker answers go out at 0.3 s to 2.4 s; after six without effect a log line and `orchidrail_runs_not_stopped_total` say so.

--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -227,6 +227,12 @@
             'Listings of workers that arrived after a newer one.',
             registry=registry,
         )
+        self.runs_not_stopped = Counter(
+            'orchidrail_runs_not_stopped',
+            'Runs that their worker kept although it answered several stop '
+            'orders.',
+            registry=registry,
+        )
 
 
 class InstanceMetrics:
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -39,6 +39,10 @@
 
 _log = structlog.get_logger()
 _STOP_INTERVAL: Seconds = 0.3
+#: How often the interval doubles while the worker answers.
+_MAX_STOP_DOUBLINGS = 3
+#: Number of answered stop orders after which a run still active is reported.
+_REPORTED_STOPS = 6
 _MILLIS = 1000
 #: Results after which the worker has certainly not started the run.
 _NOT_STARTED_RESULTS = frozenset(
@@ -62,6 +66,10 @@
         OrderResult.NOT_SENT,
     )
 )
+#: Results after which the same order may soon succeed.
+_TRANSIENT_RESULTS = frozenset(
+    (OrderResult.NOT_SENT, OrderResult.UNKNOWN, OrderResult.UNHEALTHY)
+)
 
 
 class RunTracker:
@@ -437,15 +445,35 @@
         The lease is renewed meanwhile. A run that continues stays allocated,
         and may keep its whole worker from getting work.
         """
+        answered = 0
         while tracked.holds(run) and not tracked.session.terminated:
             answer = await tracked.session.stop(run.key)
-            if answer.result is OrderResult.TAKEN:
-                # The worker won't start the run any more; an active run stays
-                # allocated until it has stopped.
-                run.confirmed_at = self._state.clock() + self._stop_duration
             if answer.result is OrderResult.FENCED:
                 return
-            await asyncio.sleep(_STOP_INTERVAL)
+            if answer.result is OrderResult.TAKEN and not run.stop_confirmed:
+                # The worker won't start the run any more; an active run stays
+                # allocated until it has stopped. Only the first confirmation
+                # counts, or each would postpone the release of an absent run.
+                run.stop_confirmed = True
+                run.confirmed_at = self._state.clock() + self._stop_duration
+            if answer.result not in _TRANSIENT_RESULTS:
+                answered += 1
+                if answered == _REPORTED_STOPS:
+                    self._report_not_stopped(tracked, run, answer.result)
+            await asyncio.sleep(_stop_interval(answered))
+
+    def _report_not_stopped(
+        self, tracked: TrackedWorker, run: PlacedRun, result: OrderResult
+    ) -> None:
+        self._state.metrics.listings.runs_not_stopped.inc()
+        _log.warning(
+            'run not stopped',
+            task=run.key.task,
+            run=run.key.run,
+            worker=tracked.worker,
+            orders=_REPORTED_STOPS,
+            result=result.value,
+        )
 
     def _check_runs(self, tracked: TrackedWorker) -> None:
         self._stop_stalled(tracked)
@@ -519,6 +547,18 @@
         return task.phase is TaskPhase.PLACED and task.run == run.key.run
 
 
+def _stop_interval(answered: int) -> Seconds:
+    """Return the pause after a stop order, by how many were answered.
+
+    Examples
+    --------
+    >>> [_stop_interval(answered) for answered in (0, 1, 2, 3, 4, 9)]
+    [0.3, 0.3, 0.6, 1.2, 2.4, 2.4]
+    """
+    doublings = min(_MAX_STOP_DOUBLINGS, max(0, answered - 1))
+    return _STOP_INTERVAL * 2**doublings
+
+
 def _certainly_ended(
     run: PlacedRun,
     listing: Listing,
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from structlog.testing import capture_logs
+
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
@@ -337,6 +339,54 @@
 
         self.run_scenario(scenario)
 
+    def test_stopped_run_without_an_end_is_released(self) -> None:
+        """Repeated stop orders must not postpone its release.
+
+        Each confirmation moved the time from which a listing without the run
+        counts. With stops more often than they take, no listing ever did, and
+        the worker, which had nothing running, got no work any more.
+        """
+
+        async def scenario(shard: Shard) -> None:
+            self.patch(runs, '_STOP_INTERVAL', 0.01)
+            shard.runs._stop_duration = 10 * 0.01
+            key = RunKey(TaskKey('f' * 16 + '.0.0.0'), RunNumber(1))
+            shard.worker.active[key] = ActiveRun(key, '', 0)
+            await shard.poll()
+            self.assertFalse(shard.tracked.accepts_work(time.monotonic()))
+            await asyncio.sleep(2 * _ORDER_WAIT)
+            await shard.poll()
+            self.assertTrue(shard.tracked.accepts_work(time.monotonic()))
+
+        self.run_scenario(scenario)
+
+    def test_stop_without_effect_is_reported(self) -> None:
+        """The worker confirms the stops but keeps the run active."""
+
+        async def scenario(shard: Shard) -> None:
+            self.patch(runs, '_STOP_INTERVAL', 0.001)
+            shard.launch(shard.add(make_job(StepSpec(1))))
+            await asyncio.sleep(_ORDER_WAIT)
+            await shard.poll()
+            run = next(iter(shard.tracked.run_by_key.values()))
+
+            async def confirm(*_: object) -> OrderAnswer:
+                return OrderAnswer(OrderResult.TAKEN, shard.worker.clock)
+
+            shard.worker.stop = confirm  # type: ignore[method-assign]
+            with capture_logs() as lines:
+                shard.runs.stop(shard.tracked, run)
+                await asyncio.sleep(_ORDER_WAIT)
+            reported = [
+                line['task']
+                for line in lines
+                if line['event'] == 'run not stopped'
+            ]
+            self.assertEqual([run.key.task], reported)
+            self.assertTrue(shard.tracked.holds(run))
+
+        self.run_scenario(scenario)
+
     def test_ended_run_missing_from_journal_counts(self) -> None:
         async def scenario(shard: Shard) -> None:
             job = make_job(StepSpec(1))
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -99,6 +99,8 @@
     confirmed_at: Seconds = math.inf
     start_deadline: Seconds = math.inf
     stopping: bool = False
+    #: Whether the worker has confirmed a stop order.
+    stop_confirmed: bool = False
     #: Whether the start order was sent, or the run was found on the worker;
     #: otherwise the worker does not know of it.
     ordered: bool = False
