Draw no conclusion from a listing that leaves out endings

Cause: a worker lists 500 endings at a time, the rest once these are acknowledged. 625 runs had ended during the cut. A run missing from the listing was taken for lost, whether or not the listing held all endings.

Change: the adapter says whether a listing holds all endings (`Listing.complete`), as the size of a page is known there only. Of an incomplete one, what is listed is applied; nothing is concluded from what is missing, for the runs of this owner and of a previous one (`InheritedRuns.resolve`, after a takeover), nor are missing runs checked for standstill. The session requests the rest at once. Log line `listing incomplete`, `orchidrail_incomplete_listings_total`.

Invariant: only a complete listing is evidence of absence. Kept by `RunTracker.on_listing`.

The tests fail without the change: the run is started again (WAITING is not PLACED), before and after a takeover.

--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -227,6 +227,11 @@
             'Listings of workers that arrived after a newer one.',
             registry=registry,
         )
+        self.incomplete = Counter(
+            'orchidrail_incomplete_listings',
+            'Listings of workers that left out ends for want of space.',
+            registry=registry,
+        )
         self.runs_not_stopped = Counter(
             'orchidrail_runs_not_stopped',
             'Runs that their worker kept although it answered several stop '
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Awaitable, Callable
 
+import msgspec
 from result import Err
 
 from orchidrail.platform import configuration, documents
@@ -207,6 +208,23 @@
         self.assertIs(RunEnding.DONE, listing.ended[0].ending)
         self.assertEqual(57, caller.bodies[0]['lastSeen'])
 
+    def test_a_full_page_of_endings_is_incomplete(self) -> None:
+        """The rest is listed once these are acknowledged."""
+        for count, complete in ((499, True), (500, False)):
+            rows = [
+                [number, f'j.0.0.{number}', 1, 'done', '']
+                for number in range(count)
+            ]
+            body = msgspec.json.encode({'clockMs': 5, 'ended': rows})
+            listing, _ = self.run_scenario(
+                RawAnswer(200, body),
+                lambda workers: workers.hold(
+                    make_entry(), HoldOrder(Epoch(7)), 2
+                ),
+            )
+            assert isinstance(listing, Listing)
+            self.assertIs(complete, listing.complete)
+
 
 class DocumentsTest(AsyncTestCase):
     def test_a_job(self) -> None:
--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -45,6 +45,9 @@
 _STOP = '/run-stop'
 _POLL = '/hold'
 _MILLIS = 1000
+#: Number of endings in one listing at most; the rest follows once these are
+#: acknowledged.
+_MAX_LISTED_ENDINGS = 500
 _BAD_REQUEST = 400
 #: Status by which another incarnation than the expected one responds.
 _MISDIRECTED = 421
@@ -178,6 +181,7 @@
             [_decode_active(row) for row in listing.active],
             [_decode_ended(row) for row in listing.ended],
             listing.born,
+            complete=len(listing.ended) < _MAX_LISTED_ENDINGS,
         )
 
     async def _order(
--- a/orchidrail/shard/inherited_runs.py
+++ b/orchidrail/shard/inherited_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from orchidrail.shard.crash_evidence import IncarnationEnd
 from orchidrail.shard.run_ends import RunEnds
@@ -67,27 +67,36 @@
             self._state.changed_jobs.add(task.step.job.job_id)
         return run
 
-    def resolve(self, tracked: TrackedWorker, seen: set[RunKey]) -> None:
+    def resolve(
+        self,
+        tracked: TrackedWorker,
+        seen: Collection[RunKey],
+        complete: bool,
+    ) -> None:
         """Resolve the inherited runs of a worker that has responded.
 
         Earlier incarnations of the worker are over. Journals of older versions
         don't distinguish incarnations.
+
+        Parameters
+        ----------
+        seen : collection of RunKey
+            Runs in the worker's listing.
+        complete : bool
+            Whether runs that are missing there have ended without a report.
         """
         name = tracked.entry.name
         unresolved = self._state.unresolved_runs
         for worker in list(unresolved):
             if split_incarnation_id(worker)[0] != name:
                 continue
-            missing = [
-                (task, number)
-                for task, number in unresolved.pop_runs(worker)
-                if RunKey(task.key, number) not in seen
-            ]
+            unresolved.remove_listed(worker, seen)
+            if not complete:
+                continue
             if worker not in (tracked.worker, name):
-                unresolved[worker] = missing
                 self._presume_lost(worker, IncarnationEnd.CRASHED)
                 continue
-            for task, number in missing:
+            for task, number in unresolved.pop_runs(worker):
                 self._ends.requeue(task, number)
 
 
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -190,20 +190,29 @@
         """See `Observer.on_listing`."""
         tracked = self._state.tracked_by_worker[session.worker]
         self._crash_attributor.retract(session.worker)
-        seen: set[RunKey] = set()
-        for active in listing.active:
-            seen.add(active.key)
-            self._apply_active(tracked, active, listing)
-        for ended in listing.ended:
-            seen.add(ended.key)
-            self._ends.apply_end(tracked, ended)
-        self._check_runs(tracked)
-        self._presume_missing_ended(tracked, listing, seen, sent_at)
+        seen = self._apply_rows(tracked, listing)
+        self._inherited.resolve(tracked, seen, listing.complete)
+        if listing.complete:
+            self._presume_missing_ended(tracked, listing, seen, sent_at)
+            self._check_runs(tracked)
+        else:
+            self._note_incomplete(tracked, listing)
         if self._ends.save_changed() or listing.ended:
             self._state.pass_requested.set()
         # Ends that are listed again may still wait for their first write.
         return [self._state.writer.flush()] if listing.ended else []
 
+    def _apply_rows(
+        self, tracked: TrackedWorker, listing: Listing
+    ) -> set[RunKey]:
+        """Apply the runs that a listing shows, and return them."""
+        for active in listing.active:
+            self._apply_active(tracked, active, listing)
+        for ended in listing.ended:
+            self._ends.apply_end(tracked, ended)
+        active_keys = {active.key for active in listing.active}
+        return active_keys | {ended.key for ended in listing.ended}
+
     def _presume_missing_ended(
         self,
         tracked: TrackedWorker,
@@ -211,13 +220,25 @@
         seen: set[RunKey],
         sent_at: Seconds,
     ) -> None:
-        """Presume the runs ended that a listing should show but doesn't."""
+        """Presume the runs ended that a complete listing doesn't show."""
         for run in list(tracked.run_by_key.values()):
             if run.key not in seen and _certainly_ended(run, listing, sent_at):
                 self._log_missing(tracked, run, listing)
                 self._ends.presume_ended(tracked, run)
-        if self._state.unresolved_runs:
-            self._inherited.resolve(tracked, seen)
+
+    def _note_incomplete(
+        self, tracked: TrackedWorker, listing: Listing
+    ) -> None:
+        """Report a listing that leaves open what became of missing runs."""
+        self._state.metrics.listings.incomplete.inc()
+        _log.info(
+            'listing incomplete',
+            worker=tracked.worker,
+            clock=round(listing.clock, 3),
+            active=len(listing.active),
+            ended=len(listing.ended),
+            known=len(tracked.run_by_key),
+        )
 
     def _log_missing(
         self,
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -243,6 +243,61 @@
 
         self.run_scenario(scenario)
 
+    def test_run_missing_from_incomplete_listing_is_not_restarted(
+        self,
+    ) -> None:
+        """After a partition a worker may have more ends than one listing holds.
+
+        A run that the listing left out had ended as done, was taken for lost
+        and started again.
+        """
+
+        async def scenario(shard: Shard) -> None:
+            step = shard.add(make_job(StepSpec(3)))
+            shard.launch(step)
+            await asyncio.sleep(_ORDER_WAIT)
+            await shard.poll()
+            for order in shard.worker.starts:
+                shard.worker.end(order.key, RunEnding.DONE)
+            shard.worker.max_listed_endings = 1
+            for ended in range(1, 4):
+                await shard.poll()
+                phases = [task.phase for task in step.tasks]
+                self.assertEqual(ended, phases.count(TaskPhase.DONE))
+                self.assertEqual([], step.startable())
+            self.assertEqual([], shard.worker.stops)
+            self.assertIs(JobPhase.COMPLETED, step.job.phase)
+
+        self.run_scenario(scenario)
+
+    def test_inherited_run_missing_from_incomplete_listing_is_kept(
+        self,
+    ) -> None:
+        """The same after a takeover, whose first listing may be incomplete."""
+
+        async def scenario(shard: Shard) -> None:
+            step = shard.add(make_job(StepSpec(2)))
+            first, second = step.tasks
+            worker = shard.tracked.worker
+            for task in step.tasks:
+                step.job.place(task, RunNumber(1), worker)
+                key = RunKey(task.key, RunNumber(1))
+                shard.worker.end(key, RunEnding.DONE)
+            shard.state.unresolved_runs[worker] = [
+                (task, task.run) for task in step.tasks
+            ]
+            shard.worker.max_listed_endings = 1
+            await shard.poll()
+            self.assertIs(TaskPhase.DONE, first.phase)
+            self.assertIs(TaskPhase.PLACED, second.phase)
+            unresolved = shard.state.unresolved_runs[worker]
+            self.assertEqual([(second, second.run)], unresolved)
+            await shard.poll()
+            self.assertIs(TaskPhase.DONE, second.phase)
+            self.assertEqual({}, shard.state.unresolved_runs.data)
+
+        self.run_scenario(scenario)
+
     def test_run_just_placed_is_not_stalled(self) -> None:
         async def scenario(shard: Shard) -> None:
             shard.worker.start_result = OrderResult.UNKNOWN
--- a/orchidrail/shard/unresolved_runs.py
+++ b/orchidrail/shard/unresolved_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import UserDict, defaultdict
+from collections.abc import Collection
 
 from orchidrail.shard.tenant_ledger import (
     QuotaUsage,
@@ -49,6 +50,19 @@
             self._ledger.remove_usage(quota_usage)
         return placed
 
+    def remove_listed(
+        self, worker: WorkerId, listed: Collection[RunKey]
+    ) -> None:
+        """Remove the runs that a worker has listed, and their usage."""
+        self[worker] = [
+            (task, number)
+            for task, number in self[worker]
+            if RunKey(task.key, number) not in listed
+        ]
+        lingering = self._lingering_by_worker.get(worker, {})
+        for key in lingering.keys() & set(listed):
+            self._ledger.remove_usage(lingering.pop(key))
+
     def add(self, worker: WorkerId, placed: _Runs) -> None:
         """Add runs to those of a worker."""
         self[worker] = [*self.get(worker, ()), *placed]
--- a/orchidrail/workers/port.py
+++ b/orchidrail/workers/port.py
@@ -148,19 +148,24 @@
 
 
 class Listing(NamedTuple):
-    """All runs of a worker, and the endings not yet acknowledged.
+    """All active runs of a worker, and the endings not yet acknowledged.
 
     Parameters
     ----------
     born : int, optional
         Start of the incarnation that responds, Unix milliseconds; None if not
         reported. Two incarnations differ in it, also under one name.
+    complete : bool
+        Whether all of these endings are listed. Otherwise the rest follows once
+        the listed ones are acknowledged, and a run that is missing may have
+        ended in any way.
     """
 
     clock: Seconds
     active: list[ActiveRun]
     ended: list[EndedRun]
     born: int | None = None
+    complete: bool = True
 
 
 class StartOrder(NamedTuple):
--- a/orchidrail/workers/session.py
+++ b/orchidrail/workers/session.py
@@ -142,6 +142,8 @@
         self._failures = 0
         self._last_seen = 0
         self._last_received = 0
+        #: Whether the newest listing left out endings.
+        self._endings_left = False
         #: Worker's clock in the newest listing applied, and when it arrived.
         self._newest_clock: Seconds = -math.inf
         self._newest_received_at: Seconds = -math.inf
@@ -273,7 +275,8 @@
 
     async def _poll(self) -> None:
         has_unacknowledged = self._last_received > self._last_seen
-        uncertain = has_unacknowledged or self._failures or not self.reachable
+        at_once = has_unacknowledged or self._endings_left
+        uncertain = at_once or self._failures or not self.reachable
         await self._poll_once(0 if uncertain else _POLL_WAIT)
 
     async def _poll_once(self, wait: Seconds) -> None:
@@ -323,6 +326,7 @@
             return
         self._newest_clock = listing.clock
         self._newest_received_at = self._clock()
+        self._endings_left = not listing.complete
         writes = self._observer.on_listing(self, listing, sent_at)
         numbers = [ended.number for ended in listing.ended]
         if not numbers:
--- a/orchidrail/workers/tests/fakes.py
+++ b/orchidrail/workers/tests/fakes.py
@@ -49,6 +49,8 @@
         self.start_result = OrderResult.TAKEN
         #: Start of the incarnation, as reported in its listings.
         self.born: int | None = None
+        #: Number of endings in one listing at most.
+        self.max_listed_endings: int | None = None
         #: Result of all polls, if set.
         self.hold_result: OrderResult | None = None
 
@@ -96,4 +98,6 @@
         self.epoch = max(self.epoch, order.epoch)
         kept = [end for end in self.ended if end.number > order.last_seen]
         active = list(self.active.values())
-        return Listing(self.clock, active, kept, self.born)
+        listed = kept[: self.max_listed_endings]
+        complete = len(listed) == len(kept)
+        return Listing(self.clock, active, listed, self.born, complete)
--- a/orchidrail/workers/tests/test_session.py
+++ b/orchidrail/workers/tests/test_session.py
@@ -266,6 +266,19 @@
         self.assertEqual(2, len(self.observer.listings))
         self.assertEqual([], self.observer.superseded)
 
+    def test_the_rest_of_the_endings_is_requested_at_once(self) -> None:
+        async def poll_twice() -> None:
+            await self.session._poll()
+            await self.session._poll()
+            await self.session._poll()
+
+        self.worker.max_listed_endings = 1
+        self.worker.end(_KEY, RunEnding.DONE)
+        self.worker.end(_KEY._replace(run=RunNumber(2)), RunEnding.DONE)
+        asyncio.run(poll_twice())
+        polls = [(hold.last_seen, hold.wait) for hold in self.worker.holds]
+        self.assertEqual([(0, 0), (1, 0), (2, 0.8)], polls)
+
     def _use_slow_link(self) -> None:
         self.worker = _SlowLink()
         self.session._calls = self.worker
