Read a large append back over several pages

Callers would see: a job answered as not accepted (503) that is kept and runs. The owner steps down and another one takes over.

Cause: after an append without an answer the writer reads what is at its offset and compares it with the append. A read returns 1 MB at most; an append holds up to 1 MB of values, one more value and the keys. The shorter page counted as another writer's records.

Change: pages are read until as many records are there as the append has, or one differs. A page that does not come leaves the outcome unknown, as before.

Invariant: records are another owner's only if one differs.

The first test fails without the change: the owner is fenced and its value counts as not written (False is not true). So does the second, where the conflict is on the second page and the view lacked it.

--- a/orchidrail/journal/appending.py
+++ b/orchidrail/journal/appending.py
@@ -74,19 +74,36 @@
     records: list[KeyedRecord],
     expected: Offset,
 ) -> AppendStatus:
-    page = await view.store.read(view.topic, expected)
-    if isinstance(page, Trimmed):
-        return AppendStatus.CONFLICT
-    if isinstance(page, Unavailable) or not page.records:
-        _log.info(
-            'append unanswered',
-            at=expected,
-            records=len(records),
-            size=sum(len(record.value) for record in records),
-        )
-        return AppendStatus.UNKNOWN
-    found = page.records[: len(records)]
-    end = Offset(expected + len(page.records))
+    """Read what is at the expected offset, over as many pages as it takes.
+
+    One page may hold less than an append: a short page is no other writer's.
+    """
+    found: list[KeyedRecord] = []
+    while len(found) < len(records):
+        page = await view.store.read(view.topic, Offset(expected + len(found)))
+        if isinstance(page, Trimmed):
+            return AppendStatus.CONFLICT
+        if isinstance(page, Unavailable) or not page.records:
+            _log.info(
+                'append unanswered',
+                at=expected,
+                records=len(records),
+                found=len(found),
+                size=sum(len(record.value) for record in records),
+            )
+            return AppendStatus.UNKNOWN
+        found.extend(page.records)
+        if found[: len(records)] != records[: len(found)]:
+            _apply_found(view, found, expected)
+            return AppendStatus.CONFLICT
+    _apply_found(view, found, expected)
+    return AppendStatus.WRITTEN
+
+
+def _apply_found(
+    view: JournalView, found: list[KeyedRecord], expected: Offset
+) -> None:
+    """Apply records from the expected offset that the view has not read."""
+    end = Offset(expected + len(found))
     if view.end is None or end > view.end:
-        view.apply(page.records, end)
-    return AppendStatus.WRITTEN if found == records else AppendStatus.CONFLICT
+        view.apply(found, end)
--- a/orchidrail/journal/tests/test_writer.py
+++ b/orchidrail/journal/tests/test_writer.py
@@ -136,6 +136,45 @@
 
         self._run(lose_response())
 
+    def test_a_large_append_with_a_lost_response_is_found(self) -> None:
+        """It is read back in several pages.
+
+        The first page was shorter than the append and was taken for records of
+        another owner: this one stepped down and reported a job as not accepted
+        that is in the journal.
+        """
+
+        async def lose_response() -> None:
+            writer = await self._take_over('a', 0)
+            self.store.fault = StoreFault.LOSES_ANSWERS
+            self.store.max_page_records = 2
+            writing = asyncio.create_task(writer.run())
+            commits = [writer.put(f'x{number}', b'1') for number in range(5)]
+            self.assertTrue(await commits[0].wait())
+            self.assertFalse(writer.fenced.is_set())
+            self.store.fault = None
+            self.assertTrue(await writer.put('y', b'1').wait())
+            view = self._view()
+            await view.catch_up()
+            self.assertEqual(writer.view.value_by_key, view.value_by_key)
+            writing.cancel()
+
+        self._run(lose_response())
+
+    def test_another_writers_records_on_a_later_page_conflict(self) -> None:
+        async def contend() -> None:
+            view = self._view()
+            await view.catch_up()
+            mine = [KeyedRecord(f'x{number}', b'1') for number in range(3)]
+            theirs = [*mine[:2], KeyedRecord('x2', b'2')]
+            await self.store.append(_TOPIC, theirs)
+            self.store.max_page_records = 2
+            status = await append_once(view, mine, Offset(0))
+            self.assertIs(AppendStatus.CONFLICT, status)
+            self.assertEqual(b'2', view.value_by_key['x2'])
+
+        self._run(contend())
+
     def test_the_second_batch_after_an_outage_has_all_pending_values(
         self,
     ) -> None:
--- a/orchidrail/store/memory.py
+++ b/orchidrail/store/memory.py
@@ -62,6 +62,8 @@
             list
         )
         self.appends = 0
+        #: Number of records in one page of a read at most.
+        self.max_page_records: int | None = None
 
     async def append(
         self,
@@ -116,7 +118,9 @@
         stored = self.records_by_topic[topic]
         if start < self.first_by_topic[topic]:
             return Trimmed(self.first_by_topic[topic])
-        return RecordPage(Offset(len(stored)), stored[start:])
+        count = self.max_page_records or len(stored)
+        page = stored[start : start + count]
+        return RecordPage(Offset(len(stored)), page)
 
     async def latest(
         self,
