--- a/standins/tests/test_returning_workers.py
+++ b/standins/tests/test_returning_workers.py
@@ -69,8 +69,7 @@
             outcome = CellModel(load, seed).play()
             violations = outcome.repeated, outcome.doubled, outcome.overfull
             self.assertEqual((0, 0, 0), violations)
-            # Seed 8 draws no such start, as members of a gang end together.
-            self.assertEqual(seed > 8, outcome.late_before_contact > 0)
+            self.assertGreater(outcome.late_before_contact, 0)
 
     def test_late_execution_does_not_count_as_contact(self) -> None:
         """Late starts are excused only until an owner contacts the worker."""
