--- a/orchidrail/instance/daemon.py
+++ b/orchidrail/instance/daemon.py
@@ -94,7 +94,9 @@
         )
         self._store = PlatformLog(self._store_caller)
         self._journal = JournalView(self._store, Topic(JOURNAL_NAME))
-        self.ownership = Ownership(self.table, self._journal, elapsed)
+        self.ownership = Ownership(
+            self.table, self._journal, elapsed, settings.store_limits
+        )
         self._pinger = Pinger(
             self.table,
             self._transport,
@@ -115,7 +117,7 @@
         self.ownership.store_answers = self._store_caller.direct_route_works
         self.ownership.handover = self._handover.hand_over_to
         self.config = ConfigFollower(
-            JournalView(self._store, OPERATOR_TOPIC),
+            JournalView(self._store, OPERATOR_TOPIC, splits_values=False),
             CONFIG_KEY,
             decode_config,
             self.metrics,
@@ -140,7 +142,7 @@
             self._advice,
         )
         self._members = MemberList(
-            JournalView(self._store, MEMBER_TOPIC),
+            JournalView(self._store, MEMBER_TOPIC, splits_values=False),
             self.table,
         )
         self.forwarder = JobForwarder(
@@ -238,7 +240,7 @@
 
     def _owner_ports(self) -> OwnerPorts:
         return OwnerPorts(
-            JournalView(self._store, WORKER_TOPIC),
+            JournalView(self._store, WORKER_TOPIC, splits_values=False),
             PlatformWorkers(self._caller),
             decode_worker,
             self._request_advice,
@@ -265,7 +267,7 @@
         self.metrics.connections_dropped.labels(reason.value).inc()
 
     def _count_store_call(self, route: str, status: int) -> None:
-        self.metrics.store_calls.labels(route, status).inc()
+        self.metrics.store.calls.labels(route, status).inc()
 
     async def _call_store(self, call: RawCall) -> RawAnswer:
         return await self._caller.call(self.settings.store, call)
--- a/orchidrail/instance/ownership.py
+++ b/orchidrail/instance/ownership.py
@@ -16,6 +16,7 @@
 from orchidrail.peers.pinger import Pinger
 from orchidrail.peers.table import OwnerClaim, PeerTable
 from orchidrail.shard.owner import OwnerPorts, ShardOwner
+from orchidrail.store import DEFAULT_LIMITS, StoreLimits
 from orchidrail.types import Epoch, InstanceId, Seconds
 from orchidrail.wire.messages import PeerState
 from orchidrail.work.model import MemberInfo
@@ -80,6 +81,8 @@
     view : JournalView
     clock : callable
         Monotonic seconds.
+    limits : StoreLimits, optional
+        Sizes that the store accepts.
     """
 
     def __init__(
@@ -87,8 +90,10 @@
         table: PeerTable,
         view: JournalView,
         clock: Callable[[], Seconds],
+        limits: StoreLimits = DEFAULT_LIMITS,
     ) -> None:
         """Start without owning the shard."""
+        self._limits = limits
         self.owner: ShardOwner | None = None
         #: Epoch of the owner that asked this process to take over.
         self.takeover_epoch = Epoch(-1)
@@ -277,6 +282,7 @@
                 self._table.me,
                 self._clock,
                 epoch,
+                self._limits,
             )
         except TakeOverError as error:
             _log.info('takeover failed', reason=str(error), epoch=epoch)
--- a/orchidrail/instance/settings.py
+++ b/orchidrail/instance/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from orchidrail.store import DEFAULT_LIMITS, StoreLimits
 from orchidrail.types import Address, InstanceId, Seconds
 
 
@@ -63,3 +64,5 @@
     bounds: Bounds = Bounds()
     #: Whether runs may be stopped for more urgent work.
     preemption: bool = True
+    #: Sizes that the store accepts.
+    store_limits: StoreLimits = DEFAULT_LIMITS
--- a/orchidrail/journal/appending.py
+++ b/orchidrail/journal/appending.py
@@ -11,9 +11,11 @@
     Appended,
     EndMoved,
     KeyedRecord,
+    NotAppended,
     Trimmed,
     Unavailable,
     Uncertain,
+    stored_size,
 )
 from orchidrail.types import Offset
 
@@ -32,12 +34,16 @@
     CONFLICT = 'theirs'
     #: None yet: the store has rejected the append.
     NOT_WRITTEN = 'free'
+    #: None, and the store will never accept these records.
+    REFUSED = 'refused'
     #: Not known: the append may have succeeded, or may still succeed.
     UNKNOWN = 'unknown'
 
 
 #: Statuses after which an append is not retried.
-FINAL_STATUSES = frozenset((AppendStatus.WRITTEN, AppendStatus.CONFLICT))
+FINAL_STATUSES = frozenset(
+    (AppendStatus.WRITTEN, AppendStatus.CONFLICT, AppendStatus.REFUSED)
+)
 
 
 async def append_once(
@@ -65,8 +71,19 @@
         return AppendStatus.WRITTEN
     if isinstance(outcome, (EndMoved, Uncertain)):
         return await _read_back(view, records, expected)
-    _log.info('append rejected', reason=outcome.reason, at=expected)
-    return AppendStatus.NOT_WRITTEN
+    _log.info(
+        'append rejected',
+        reason=outcome.reason,
+        at=expected,
+        records=len(records),
+        size=sum(map(stored_size, records)),
+        largest=max((stored_size(record) for record in records), default=0),
+    )
+    if isinstance(outcome, NotAppended):
+        return AppendStatus.NOT_WRITTEN
+    # An earlier attempt without an answer may have succeeded all the same.
+    status = await _read_back(view, records, expected)
+    return status if status in FINAL_STATUSES else AppendStatus.REFUSED
 
 
 async def _read_back(
--- a/orchidrail/journal/follower.py
+++ b/orchidrail/journal/follower.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from orchidrail.journal.split_values import PartKey, PartStore
 from orchidrail.store import (
     KeyedRecord,
     StoreLog,
@@ -28,12 +29,18 @@
     store : StoreLog
     topic : Topic
         The partition that holds the journal.
+    splits_values : bool
+        Whether its writers split large values; others may use any keys.
     """
 
-    def __init__(self, store: StoreLog, topic: Topic) -> None:
+    def __init__(
+        self, store: StoreLog, topic: Topic, *, splits_values: bool = True
+    ) -> None:
         """Start empty, with nothing read."""
         self.store = store
         self.topic = topic
+        #: Parts of split values, None if values are never split.
+        self.parts = PartStore() if splits_values else None
         self.value_by_key: dict[str, bytes] = {}
         #: Offset that follows the last record read; None before the first.
         self.end: Offset | None = None
@@ -43,12 +50,26 @@
     def apply(self, records: list[KeyedRecord], end: Offset) -> None:
         """Apply records that are in the store, up to offset `end`."""
         for record in records:
-            if record.value:
-                self.value_by_key[record.key] = record.value
-            else:
-                self.value_by_key.pop(record.key, None)
+            if self.parts is None or not self.parts.take(record):
+                self._apply_value(record)
         self.end = end
 
+    def _apply_value(self, record: KeyedRecord) -> None:
+        value: bytes | None = record.value
+        if self.parts is not None:
+            value = self.parts.join(record)
+        if value is None:
+            # The newer value follows in the records after the listing.
+            _log.info('parts of another value listed', key=record.key)
+        if value:
+            self.value_by_key[record.key] = value
+        else:
+            self.value_by_key.pop(record.key, None)
+
+    def orphaned_parts(self) -> list[str]:
+        """Return the keys of parts that belong to no value in the view."""
+        return [] if self.parts is None else self.parts.orphans()
+
     async def catch_up(self, wait: Seconds = 0) -> bool:
         """Read up to the partition's end; return whether it was reached.
 
@@ -106,5 +127,9 @@
             if not after:
                 break
         self.value_by_key.clear()
+        if self.parts is not None:
+            self.parts.clear()
+            # The parts of a value precede it, as in an append.
+            listed.sort(key=lambda record: PartKey.parse(record.key) is None)
         self.apply(listed, start)
         return True
--- a/orchidrail/journal/writer.py
+++ b/orchidrail/journal/writer.py
@@ -4,13 +4,17 @@
 process makes the next one fail, and a previous owner can't write after a
 takeover. An append without a response is resent unchanged until a read finds
 it, or another writer's record at its offset.
+
+No record exceeds what the store accepts: a larger value is split, and its
+records are written by one append. A value that can't be written at all is
+dropped and reported to its writer; the others of its batch are still written.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
@@ -20,9 +24,13 @@
     append_once,
 )
 from orchidrail.journal.queued_values import EncodeValue, QueuedValues
+from orchidrail.journal.split_values import split_value
 from orchidrail.store import (
+    DEFAULT_LIMITS,
     KeyedRecord,
+    StoreLimits,
     Unavailable,
+    stored_size,
 )
 from orchidrail.types import Epoch, Offset, Seconds
 from orchidrail.work.records import (
@@ -50,8 +58,8 @@
 #: How long a confirmation is valid. Unless asked, other processes take over
 #: only a journal without a new record for 0.3 s.
 _CONFIRMATION_VALIDITY: Seconds = 0.25
-#: Bytes of values after which an append is split; the store accepts 2 MB in
-#: one call.
+#: Bytes up to which values share an append, unless one alone is larger. Half of
+#: what the store accepts in one call.
 _MAX_CHUNK_BYTES = 1_000_000
 
 
@@ -59,11 +67,22 @@
     """The takeover of a journal failed; the message gives the reason."""
 
 
+class _StoredValue(NamedTuple):
+    """A value and the records in which it is stored."""
+
+    key: str
+    records: list[KeyedRecord]
+    #: Bytes that it takes in a call.
+    size: int
+
+
 class Commit:
     """Outcome of one batch, awaited by the callers that put records in it."""
 
     def __init__(self) -> None:
         """Start undecided."""
+        #: Keys of the batch whose values the store will never accept.
+        self.refused_keys: set[str] = set()
         #: Whether its records are, or may still get, into the store.
         self.may_be_written = False
         self._outcome: asyncio.Future[bool] = (
@@ -103,6 +122,8 @@
         Monotonic seconds.
     end : int
         Offset that follows the owner's own record.
+    limits : StoreLimits
+        Sizes that the store accepts.
     """
 
     def __init__(
@@ -111,10 +132,15 @@
         owner: OwnerRecord,
         clock: Callable[[], Seconds],
         end: Offset,
+        limits: StoreLimits,
     ) -> None:
         """Start right after the takeover."""
         self.view = view
         self.owner = owner
+        self.limits = limits
+        #: Called with the key of each value that is dropped as it can't be
+        #: written, before the outcome of its batch is known.
+        self.on_refused: Callable[[str], None] = _ignore_refused
         #: End of this owner's own records. The view's end can't be used: other
         #: readers in this process move it past the next owner's record.
         self._end = end
@@ -130,8 +156,8 @@
         self._in_flight = Commit()
         self._in_flight.decide(committed=True)
         self._work_available = asyncio.Event()
-        #: Records rejected by the store that are to be resent.
-        self._rejected: list[KeyedRecord] = []
+        #: Values rejected by the store that are to be resent.
+        self._rejected: list[_StoredValue] = []
 
     def put(self, key: str, value: bytes) -> Commit:
         """Queue a value for the next append; an empty one removes the key."""
@@ -160,10 +186,10 @@
         """
         if self._queued.remove(key):
             return True
-        remaining = [record for record in self._rejected if record.key != key]
-        withdrawn = len(remaining) < len(self._rejected)
-        self._rejected = remaining
-        return withdrawn
+        withdrawn = [stored for stored in self._rejected if stored.key == key]
+        for stored in withdrawn:
+            self._rejected.remove(stored)
+        return bool(withdrawn)
 
     @property
     def waiting_bytes(self) -> int:
@@ -196,9 +222,8 @@
 
     async def flush(self) -> bool:
         """Wait for all values put so far; return whether they are written."""
-        if self._queued:
-            return await self._commit.wait()
-        return await self._in_flight.wait()
+        commit = self._commit if self._queued else self._in_flight
+        return await commit.wait() and not commit.refused_keys
 
     async def _wait_for_work(self) -> None:
         try:
@@ -214,49 +239,94 @@
         self._in_flight = commit
         self._commit = Commit()
         self._work_available.clear()
-        for chunk in _chunks(records):
-            if not await self._append(chunk, commit):
+        values = [self._split(record) for record in records]
+        for chunk in _chunks(values):
+            if not await self._write(chunk, commit):
                 self._mark_fenced(commit)
                 return
         commit.decide(committed=True)
 
+    def _split(self, record: KeyedRecord) -> _StoredValue:
+        """Split a value, and remove the parts that its predecessor had more."""
+        records = split_value(*record, self.limits)
+        assert self.view.parts is not None
+        records += self.view.parts.leftovers(record.key, len(records) - 1)
+        size = sum(map(stored_size, records))
+        return _StoredValue(record.key, records, size)
+
     def _mark_fenced(self, commit: Commit) -> None:
         self.fenced.set()
         commit.decide(committed=False)
         self._commit.decide(committed=False)
 
+    async def _write(self, values: list[_StoredValue], commit: Commit) -> bool:
+        """Write values, without those refused; False if no longer the owner.
+
+        Refused values are separated by halving: each costs a number of calls
+        that is logarithmic in the size of the append.
+        """
+        status = await self._append(values, commit)
+        if status is not AppendStatus.REFUSED:
+            return status is AppendStatus.WRITTEN
+        if len(values) <= 1:
+            return all(self._drop(stored, commit) for stored in values)
+        middle = len(values) // 2
+        for half in (values[:middle], values[middle:]):
+            if not await self._write(half, commit):
+                return False
+        return True
+
+    def _drop(self, stored: _StoredValue, commit: Commit) -> bool:
+        """Drop a value that can't be written; False if it is the owner's."""
+        _log.error(
+            'value can not be written',
+            key=stored.key,
+            size=stored.size,
+            records=len(stored.records),
+            limits=self.limits,
+        )
+        commit.refused_keys.add(stored.key)
+        self.on_refused(stored.key)
+        return stored.key != OWNER_KEY
+
     async def _append(
         self,
-        records: list[KeyedRecord],
+        values: list[_StoredValue],
         commit: Commit,
-    ) -> bool:
-        """Append, with unlimited retries; False if another owner wrote.
+    ) -> AppendStatus:
+        """Append, with unlimited retries while the store may yet accept it.
 
-        Records that the store rejected may be withdrawn before the next
-        attempt; records that may have reached it are resent unchanged.
+        Values that the store rejected may be withdrawn from the list before the
+        next attempt; those that may have reached it are resent unchanged.
         """
         written_before = commit.may_be_written
         uncertain = False
         while True:
             commit.may_be_written = True
             sent_at = self._clock()
-            status = await append_once(self.view, records, self._end)
+            records = [record for stored in values for record in stored.records]
+            status = AppendStatus.REFUSED
+            if self.limits.fit_call(records):
+                status = await append_once(self.view, records, self._end)
             if status in FINAL_STATUSES:
                 self.last_error = ''
                 break
             self.last_error = 'append not accepted'
             uncertain = uncertain or status is AppendStatus.UNKNOWN
             commit.may_be_written = uncertain or written_before
-            self._rejected = [] if commit.may_be_written else records
+            self._rejected = [] if commit.may_be_written else values
             await asyncio.sleep(_RETRY_PAUSE)
-            records = records if commit.may_be_written else self._rejected
             self._rejected = []
-        if status is AppendStatus.CONFLICT:
+        if status is not AppendStatus.WRITTEN:
             commit.may_be_written = written_before
-            return False
+            return status
         self._end = Offset(self._end + len(records))
         self.confirmed_at = sent_at
-        return True
+        return status
+
+
+def _ignore_refused(key: str) -> None:
+    """Ignore that a value was dropped; the writer has logged it."""
 
 
 async def take_over(
@@ -264,6 +334,7 @@
     me: MemberInfo,
     clock: Callable[[], Seconds],
     expected_epoch: Epoch,
+    limits: StoreLimits = DEFAULT_LIMITS,
 ) -> JournalWriter:
     """Become the journal's owner, with an epoch above all fencing tokens.
 
@@ -298,7 +369,9 @@
         status = await append_once(view, [record], expected)
     if status is AppendStatus.CONFLICT:
         raise TakeOverError('another process wrote first')
-    return JournalWriter(view, owner, clock, Offset(expected + 1))
+    if status is AppendStatus.REFUSED:
+        raise TakeOverError('the store does not accept the owner record')
+    return JournalWriter(view, owner, clock, Offset(expected + 1), limits)
 
 
 def highest_fence(view: JournalView) -> Epoch:
@@ -323,14 +396,14 @@
     return None if value is None else decode_owner(value)
 
 
-def _chunks(records: list[KeyedRecord]) -> list[list[KeyedRecord]]:
-    """Split records, in order, into chunks small enough for one call."""
-    chunks: list[list[KeyedRecord]] = [[]]
-    size = 0
-    for record in records:
-        if size > _MAX_CHUNK_BYTES:
+def _chunks(values: list[_StoredValue]) -> list[list[_StoredValue]]:
+    """Divide values, in order, among appends; none is divided itself."""
+    chunks: list[list[_StoredValue]] = []
+    room = 0
+    for stored in values:
+        if not chunks or stored.size > room:
             chunks.append([])
-            size = 0
-        chunks[-1].append(record)
-        size += len(record.value)
+            room = _MAX_CHUNK_BYTES
+        chunks[-1].append(stored)
+        room -= stored.size
     return chunks
--- a/orchidrail/metrics.py
+++ b/orchidrail/metrics.py
@@ -240,6 +240,24 @@
         )
 
 
+class StoreMetrics:
+    """Metrics of the calls to the store."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.calls = Counter(
+            'orchidrail_store_calls',
+            'Calls to the store, by way (direct or relay) and status.',
+            ('way', 'status'),
+            registry=registry,
+        )
+        self.refused_values = Counter(
+            'orchidrail_refused_values',
+            'Values of the journal that the store will never accept.',
+            registry=registry,
+        )
+
+
 class InstanceMetrics:
     """Metrics of the process of one instance."""
 
@@ -251,6 +269,7 @@
         self.preemption = PreemptionMetrics(self.registry)
         self.evacuation = EvacuationMetrics(self.registry)
         self.listings = ListingMetrics(self.registry)
+        self.store = StoreMetrics(self.registry)
         self.submissions = self._counter(
             'submissions',
             'Submissions answered to callers, by queue and outcome.',
@@ -291,12 +310,6 @@
             'Lives of workers that ended, by how.',
             'how',
         )
-        self.store_calls = self._counter(
-            'store_calls',
-            'Calls to the store, by way (direct or relay) and status.',
-            'way',
-            'status',
-        )
         self.connections_dropped = self._counter(
             'connections_dropped',
             'Pools of connections dropped because one of them was silent, '
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -16,6 +16,7 @@
     NonEmptyText,
     PositiveCount,
 )
+from orchidrail.store import StoreLimits
 from orchidrail.types import (
     Address,
     InstanceId,
@@ -211,6 +212,7 @@
         link=_link(value_by_key),
         bounds=_bounds(value_by_key),
         preemption=value_by_key.get('preemption', 'on') != 'off',
+        store_limits=_store_limits(value_by_key),
     )
 
 
@@ -230,6 +232,15 @@
     return megabits * _BYTES_PER_MEGABIT
 
 
+def _store_limits(value_by_key: dict[str, str]) -> StoreLimits:
+    given = {
+        name: int(value_by_key[f'platform.{name}'])
+        for name in StoreLimits._fields
+        if value_by_key.get(f'platform.{name}')
+    }
+    return StoreLimits(**given)
+
+
 def _bounds(value_by_key: dict[str, str]) -> Bounds:
     given = {
         name: float(value_by_key[f'bounds.{key}']) / divisor
--- a/orchidrail/platform/store_log.py
+++ b/orchidrail/platform/store_log.py
@@ -17,6 +17,7 @@
     NotAppended,
     ReadOutcome,
     RecordPage,
+    Refused,
     Topic,
     Trimmed,
     Unavailable,
@@ -37,6 +38,8 @@
 _OK = 200
 _GONE = 410
 _END_MOVED = 412
+#: Statuses that a repeated call gets again: bad request, forbidden, too large.
+_FINAL_REFUSALS = frozenset((400, 403, 413))
 _LENGTH = struct.Struct('>I')
 #: Two numbers of eight bytes each: the end and the first offset retained.
 _POSITIONS = struct.Struct('>QQ')
@@ -109,6 +112,8 @@
         if answer.status == _END_MOVED:
             return EndMoved(Offset(_decode_appended(answer.body).end))
         reason = f'{answer.status} {answer.body[:_MAX_QUOTED]!r}'
+        if answer.status in _FINAL_REFUSALS:
+            return Refused(reason)
         if answer.status or not answer.reached:
             return NotAppended(reason)
         return Uncertain(reason)
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -19,6 +19,8 @@
     LatestPage,
     NotAppended,
     RecordPage,
+    Refused,
+    StoreLimits,
     Topic,
     Trimmed,
     Uncertain,
@@ -80,6 +82,9 @@
         table = (
             (RawAnswer(412, b'{"end":9}'), EndMoved),
             (RawAnswer(503), NotAppended),
+            (RawAnswer(507), NotAppended),
+            (RawAnswer(400, b'too large'), Refused),
+            (RawAnswer(413), Refused),
             (RawAnswer(0, b'', reached=False), NotAppended),
             (RawAnswer(0, b'timeout'), Uncertain),
         )
@@ -362,6 +367,13 @@
         settings = documents.decode_settings(lines)
         self.assertEqual(4.5, settings.bounds.evacuation)
 
+    def test_sizes_that_the_store_accepts(self) -> None:
+        settings = documents.decode_settings(_SETTINGS)
+        self.assertEqual(StoreLimits(), settings.store_limits)
+        lines = f'{_SETTINGS}\nplatform.record_bytes=1000'
+        limits = documents.decode_settings(lines).store_limits
+        self.assertEqual((1000, 2_097_152), limits)
+
     def test_evacuated_zones_are_found_among_the_operators_records(
         self,
     ) -> None:
--- a/orchidrail/properties/test_stored_progress.py
+++ b/orchidrail/properties/test_stored_progress.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 from unittest import mock
 
@@ -24,6 +25,7 @@
 from orchidrail.store import Topic
 from orchidrail.store.memory import MemoryStore
 from orchidrail.types import Address, Epoch, InstanceId, JobId, WorkerId
+from orchidrail.work import progress_blocks
 from orchidrail.work.job import Job
 from orchidrail.work.model import MemberInfo, StepSpec
 from orchidrail.work.records import (
@@ -33,6 +35,7 @@
     TaskPhase,
     TaskRow,
     encode,
+    find_job_id,
     job_key,
     progress_key,
     read_jobs,
@@ -73,23 +76,44 @@
     rows: tuple[str, ...] = ()
 
 
+_Check = Callable[[TestCase, _JobState, set[_JobState]], None]
+
+
 def _state_of(job: Job) -> _JobState:
     if job.ended:
         return _JobState()
-    return _JobState(
-        True, tuple(map(repr, sorted(job.short_rows(), key=_place)))
-    )
+    rows = [row for block in job.blocks() for row in job.short_rows(block)]
+    return _JobState(True, tuple(map(repr, sorted(rows, key=_place))))
 
 
 def _place(row: TaskRow | DoneRow) -> tuple[int, int, int]:
     return row.round_number, row.step, row.index
 
 
+def _check_whole(
+    case: TestCase, found: _JobState, allowed: set[_JobState]
+) -> None:
+    """Check that a job is as of one moment."""
+    case.assertIn(found, allowed)
+
+
+def _check_each_row(
+    case: TestCase, found: _JobState, allowed: set[_JobState]
+) -> None:
+    """Check that each task is as of one moment; blocks may be of two."""
+    case.assertIn(found.is_open, {state.is_open for state in allowed})
+    rows = {row for state in allowed for row in state.rows}
+    case.assertEqual(set(), set(found.rows) - rows)
+    if len(allowed) == 1:
+        _check_whole(case, found, allowed)
+
+
 class _Scenario:
     """Successive owners of one journal, and what each append should show."""
 
-    def __init__(self, case: TestCase) -> None:
+    def __init__(self, case: TestCase, check: _Check) -> None:
         self._case = case
+        self._check = check
         self._store = MemoryStore()
         self._epoch = 0
         #: As written by the last whole batch, and as queued since.
@@ -177,7 +201,7 @@
                 old = self._written[name]
                 alone = old if old.is_open else _JobState(True)
                 allowed |= {old, alone}
-            self._case.assertIn(found[name], allowed)
+            self._check(self._case, found[name], allowed)
         await self._write()
         self._check_orphans()
 
@@ -193,9 +217,9 @@
     def _check_orphans(self) -> None:
         value_by_key = self._owner.writer.view.value_by_key
         open_jobs = self._owner.state.job_by_id
-        for name in map(JobId, _JOBS):
-            if name not in open_jobs:
-                self._case.assertNotIn(progress_key(name), value_by_key)
+        for key in value_by_key:
+            if key.startswith(progress_key(JobId(''))):
+                self._case.assertIn(find_job_id(key), open_jobs)
 
 
 class StoredProgressProperty(TestCase):
@@ -205,4 +229,15 @@
         self, actions: list[tuple[str, str, object]]
     ) -> None:
         with mock.patch.object(writer_module, '_MAX_CHUNK_BYTES', -1):
-            asyncio.run(_Scenario(self).perform(actions))
+            asyncio.run(_Scenario(self, _check_whole).perform(actions))
+
+    @settings(deadline=None, max_examples=200)
+    @given(actions=st.lists(_actions, min_size=8, max_size=40))
+    def test_the_next_owner_restores_each_block(
+        self, actions: list[tuple[str, str, object]]
+    ) -> None:
+        with (
+            mock.patch.object(writer_module, '_MAX_CHUNK_BYTES', -1),
+            mock.patch.object(progress_blocks, 'TASKS_PER_BLOCK', 2),
+        ):
+            asyncio.run(_Scenario(self, _check_each_row).perform(actions))
--- a/orchidrail/shard/crash_attribution.py
+++ b/orchidrail/shard/crash_attribution.py
@@ -83,7 +83,7 @@
         task = run.task
         cleared = tracked.uptime_since_start(run) > _CLEARED_AFTER
         if task is not None and task.suspicion and cleared:
-            task.suspicion = 0
+            task.step.job.clear_suspicion(task)
             _log.info('task cleared', task=task.key, worker=tracked.worker)
 
     def _add_suspicion(
--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -46,12 +46,14 @@
 from orchidrail.work.records import (
     ENDED_PHASES,
     EndedRecord,
+    FailureCause,
     JobPhase,
     JobRecord,
     encode,
+    find_job_id,
     job_key,
-    progress_key,
     read_jobs,
+    read_records,
 )
 from orchidrail.work.tenant import ANONYMOUS_TENANT, Tenant
 from orchidrail.workers.incarnations import incarnation_id
@@ -163,6 +165,7 @@
             prior_leases_end=prior_leases_until,
             may_renew=self._may_renew,
         )
+        writer.on_refused = self._handle_refused
         self._restore()
 
     async def run(self) -> None:
@@ -274,7 +277,7 @@
                 (waiting,), timeout=_WITHDRAWAL_INTERVAL
             )
         if await waiting:
-            return True
+            return job_key(job_id) not in commit.refused_keys
         return None if commit.may_be_written else False
 
     def _withdraw(self, job: Job, commit: Commit) -> bool:
@@ -284,13 +287,9 @@
         """
         if job.ended or commit.may_be_written:
             return False
-        if not self.writer.withdraw(job_key(job.job_id)):
+        if not self.state.withdraw(job):
             return False
-        self.writer.withdraw(progress_key(job.job_id))
-        job.phase = JobPhase.CANCELLED
-        self.state.job_by_id.pop(job.job_id, None)
-        self.state.mark_changed(job)
-        self.runs.release_job(job)
+        self._drop(job)
         _log.info(
             'job withdrawn',
             job=job.job_id,
@@ -300,6 +299,29 @@
         )
         return True
 
+    def _drop(self, job: Job) -> None:
+        """Drop a job that is not in the journal; none of its tasks has run."""
+        job.phase = JobPhase.CANCELLED
+        self.state.job_by_id.pop(job.job_id, None)
+        self.state.mark_changed(job)
+        self.runs.release_job(job)
+
+    def _handle_refused(self, key: str) -> None:
+        """Handle that the store will never accept a value.
+
+        A submission is rejected. An accepted job whose progress can't be kept
+        fails: the next owner would run its tasks again.
+        """
+        self.state.metrics.store.refused_values.inc()
+        job_id = find_job_id(key)
+        job = None if job_id is None else self.state.job_by_id.get(job_id)
+        if job is None:
+            return
+        if key == job_key(job.job_id):
+            self._drop(job)
+        else:
+            self.runs.fail_job(job, FailureCause.NOT_STORABLE)
+
     def _accept(self, job: Job, committed: bool) -> None:
         job.accepted = committed and not job.ended
         if not job.accepted:
@@ -414,13 +436,14 @@
                 self._restore_lingering_runs(stored.record)
                 continue
             job = Job(stored.job_id, stored.record)
-            job.restore(stored.progress)
+            for block, progress in sorted(stored.progress_by_block.items()):
+                job.restore(progress, block)
             job.accepted = True
             self.state.job_by_id[stored.job_id] = job
             self.state.mark_changed(job)
             for task in job.placed_tasks():
                 self.state.unresolved_runs.add(task.worker, [(task, task.run)])
-        self.state.remove_orphaned_progress()
+        self.state.remove_orphans()
         _log.info(
             'jobs restored',
             jobs=len(self.state.job_by_id),
@@ -441,9 +464,9 @@
         while True:
             await asyncio.sleep(_EXPIRY_TICK * 10)
             before = self._ports.wall_clock() - 2 * self._ports.status_kept
-            for stored in read_jobs(self.writer.view.value_by_key):
-                record = stored.record
+            records = read_records(self.writer.view.value_by_key)
+            for job_id, record in records.items():
                 if isinstance(record, EndedRecord) and (
                     record.ended_at < before
                 ):
-                    self.writer.put(job_key(stored.job_id), b'')
+                    self.writer.put(job_key(job_id), b'')
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -138,7 +138,7 @@
         changed = list(self._changed_job_by_id.values())
         self._changed_job_by_id.clear()
         for job in changed:
-            self._save(job)
+            self.finish(job)
         return changed
 
     def _record_speed(
@@ -202,7 +202,7 @@
             if tracked is not None and run is not None:
                 self._stop(tracked, run)
 
-    def _save(self, job: Job) -> Commit:
+    def finish(self, job: Job) -> Commit:
         """Save a job after its runs changed; if it has ended, stop the rest."""
         self._state.mark_changed(job)
         commit = self._state.save(job)
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -27,7 +27,7 @@
 from orchidrail.shard.worker_selection import Placement
 from orchidrail.types import Address, RunNumber, Seconds, WorkerId, ZoneId
 from orchidrail.work.job import Job
-from orchidrail.work.records import TaskPhase
+from orchidrail.work.records import FailureCause, TaskPhase
 from orchidrail.work.step import StepState
 from orchidrail.workers.port import (
     ActiveRun,
@@ -159,6 +159,11 @@
         for tracked, run in self._runs_of(job):
             self.stop(tracked, run)
 
+    def fail_job(self, job: Job, cause: FailureCause) -> None:
+        """End a job as failed, and stop its runs."""
+        job.fail(cause)
+        self._ends.finish(job)
+
     def release_job(self, job: Job) -> None:
         """Free the allocations of a job none of whose starts was sent."""
         for tracked, run in self._runs_of(job):
@@ -554,8 +559,8 @@
         if run.confirmed_at == math.inf:
             run.confirmed_at = now
         task = run.task
-        if task is not None and active.checkpoint:
-            task.checkpoint = active.checkpoint
+        if task is not None:
+            task.step.job.note_checkpoint(task, active.checkpoint)
         self._crash_attributor.note_survival(tracked, run)
         self._ends.note_active(tracked, run)
         if not self._is_current(run):
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -4,6 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
+
+import msgspec
+import structlog
 
 from orchidrail.evacuation import ZoneGate
 from orchidrail.journal import JournalWriter
@@ -20,6 +24,8 @@
 from orchidrail.shard.unresolved_runs import UnresolvedRuns
 from orchidrail.shard.worker_speed import SpeedEstimator
 from orchidrail.types import (
+    FIRST_BLOCK,
+    BlockNumber,
     Epoch,
     JobId,
     Seconds,
@@ -31,6 +37,7 @@
     FENCE_KEY,
     EndedRecord,
     LingeringRun,
+    TaskRow,
     encode,
     encode_progress,
     job_key,
@@ -42,6 +49,7 @@
 from orchidrail.workers.incarnations import split_incarnation_id
 from orchidrail.workers.port import WorkerEntry
 
+_log = structlog.get_logger()
 _KEY_PARTS = 4
 
 
@@ -150,10 +158,15 @@
             return True
         return await self._fence_commit.wait()
 
-    def remove_orphaned_progress(self) -> None:
-        """Remove progress that a failed owner left of jobs that are over."""
-        value_by_key = self.writer.view.value_by_key
-        for key in orphaned_progress(value_by_key, self.job_by_id):
+    def remove_orphans(self) -> None:
+        """Remove what a failed owner left of values that are gone.
+
+        These are the progress of jobs that are over, and parts of values.
+        """
+        view = self.writer.view
+        for key in orphaned_progress(view.value_by_key, self.job_by_id):
+            self.writer.put(key, b'')
+        for key in view.orphaned_parts():
             self.writer.put(key, b'')
 
     def delete_worker(self, tracked: TrackedWorker) -> None:
@@ -183,11 +196,41 @@
 
     def save(self, job: Job) -> Commit:
         """Write the progress of a job, or its end, to the journal."""
-        if not job.ended:
-            return self.writer.put_lazily(
-                progress_key(job.job_id),
-                lambda: encode_progress(job.short_rows()),
+        if job.ended:
+            return self._save_end(job)
+        # Without a change the first block is written again, for its commit.
+        commits = [
+            self.writer.put_lazily(
+                progress_key(job.job_id, block),
+                partial(self._encode_block, job, block),
             )
+            for block in job.take_changed_blocks() or [FIRST_BLOCK]
+        ]
+        return commits[-1]
+
+    def _encode_block(self, job: Job, block: BlockNumber) -> bytes:
+        """Encode a block of a job's progress, for the next owner.
+
+        Checkpoints that don't fit the store are left out: the tasks would start
+        over under the next owner, but no run is lost.
+        """
+        rows = job.short_rows(block)
+        value = encode_progress(rows)
+        if len(value) <= self.writer.limits.max_value_bytes:
+            return value
+        _log.warning(
+            'checkpoints too large for the journal',
+            job=job.job_id,
+            block=block,
+            size=len(value),
+            limit=self.writer.limits.max_value_bytes,
+        )
+        for row in rows:
+            if isinstance(row, TaskRow):
+                row.checkpoint = ''
+        return encode_progress(rows)
+
+    def _save_end(self, job: Job) -> Commit:
         record = EndedRecord(
             job.phase,
             self.wall_clock(),
@@ -196,8 +239,25 @@
             job.tenant,
             _lingering_runs(job),
         )
-        commit = self.writer.put(job_key(job.job_id), encode(record))
+        value = encode(record)
+        if len(value) > self.writer.limits.max_value_bytes:
+            _log.warning(
+                'stopping runs of an ended job are not recorded',
+                job=job.job_id,
+                runs=len(record.lingering_runs),
+            )
+            value = encode(msgspec.structs.replace(record, lingering_runs=()))
+        commit = self.writer.put(job_key(job.job_id), value)
         # Removed after that: both may be written by different appends, and
         # without progress an open job would run its tasks again.
-        self.writer.put(progress_key(job.job_id), b'')
+        for block in job.blocks() or [FIRST_BLOCK]:
+            self.writer.put(progress_key(job.job_id, block), b'')
         return commit
+
+    def withdraw(self, job: Job) -> bool:
+        """Withdraw a job from the journal; False if it may be in the store."""
+        if not self.writer.withdraw(job_key(job.job_id)):
+            return False
+        for block in job.blocks():
+            self.writer.withdraw(progress_key(job.job_id, block))
+        return True
--- a/orchidrail/shard/stored_state.py
+++ b/orchidrail/shard/stored_state.py
@@ -9,8 +9,9 @@
     EndedRecord,
     FailureCause,
     JobPhase,
+    decode_job,
+    has_progress,
     job_key,
-    read_job,
 )
 
 
@@ -44,12 +45,12 @@
     value_by_key: dict[str, bytes],
 ) -> StoredState | None:
     """Return the recorded state of a job, None if there is no such job."""
-    if job_key(job_id) not in value_by_key:
+    raw = value_by_key.get(job_key(job_id))
+    if raw is None:
         return None
-    stored = read_job(job_id, value_by_key)
-    record = stored.record
+    record = decode_job(raw)
     if isinstance(record, EndedRecord):
         return StoredState(record.phase, record.cause, record.tenant.name)
-    started = stored.progress.rows
+    started = has_progress(job_id, value_by_key)
     phase = JobPhase.RUNNING if started else JobPhase.QUEUED
     return StoredState(phase, tenant=record.tenant.name)
--- a/orchidrail/store/__init__.py
+++ b/orchidrail/store/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from orchidrail.store.port import (
+    DEFAULT_LIMITS,
     Appended,
     AppendOutcome,
     EndMoved,
@@ -11,14 +12,18 @@
     NotAppended,
     ReadOutcome,
     RecordPage,
+    Refused,
+    StoreLimits,
     StoreLog,
     Topic,
     Trimmed,
     Unavailable,
     Uncertain,
+    stored_size,
 )
 
 __all__ = (
+    'DEFAULT_LIMITS',
     'AppendOutcome',
     'Appended',
     'EndMoved',
@@ -27,9 +32,12 @@
     'NotAppended',
     'ReadOutcome',
     'RecordPage',
+    'Refused',
+    'StoreLimits',
     'StoreLog',
     'Topic',
     'Trimmed',
     'Unavailable',
     'Uncertain',
+    'stored_size',
 )
--- a/orchidrail/store/memory.py
+++ b/orchidrail/store/memory.py
@@ -15,6 +15,8 @@
     NotAppended,
     ReadOutcome,
     RecordPage,
+    Refused,
+    StoreLimits,
     Topic,
     Trimmed,
     Unavailable,
@@ -62,6 +64,9 @@
             list
         )
         self.appends = 0
+        #: Sizes up to which records and calls are accepted.
+        self.limits = StoreLimits()
+        self.refusals = 0
         #: Number of records in one page of a read at most.
         self.max_page_records: int | None = None
 
@@ -77,6 +82,9 @@
             return NotAppended('down')
         if self.fault is StoreFault.SWALLOWS:
             return Uncertain('no answer')
+        if not self.limits.fit_call(records):
+            self.refusals += 1
+            return Refused('too large')
         if self.fault is StoreFault.DELAYS:
             asyncio.get_running_loop().call_later(
                 _APPEND_DELAY,
--- a/orchidrail/store/port.py
+++ b/orchidrail/store/port.py
@@ -7,10 +7,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
 from orchidrail.types import Offset, Seconds
 
+#: Size of a record's key at most, in bytes: its length is one byte.
+MAX_KEY_BYTES = 255
+_LENGTH_BYTES = 4
+_MAX_RECORD_OVERHEAD = _LENGTH_BYTES + 1 + MAX_KEY_BYTES
+
 
 class Topic(NamedTuple):
     """One partition of one stream of keyed records."""
@@ -26,6 +32,53 @@
     value: bytes
 
 
+class StoreLimits(NamedTuple):
+    """Sizes up to which the store accepts records and calls, in bytes.
+
+    Examples
+    --------
+    >>> StoreLimits(record_bytes=10).fits_record(KeyedRecord('key', b'123456'))
+    True
+    >>> StoreLimits(record_bytes=10).fits_record(KeyedRecord('key', b'1234567'))
+    False
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+    @property
+    def max_part_bytes(self) -> int:
+        """Size of a value that fits one record under any key."""
+        return self.record_bytes - MAX_KEY_BYTES - 1
+
+    @property
+    def max_value_bytes(self) -> int:
+        """Size up to which a value fits one call, in several records."""
+        records = self.call_bytes // self.max_part_bytes + 1
+        return self.call_bytes - records * _MAX_RECORD_OVERHEAD
+
+    def fits_record(self, record: KeyedRecord) -> bool:
+        """Whether the store accepts a record of this size."""
+        key_bytes = len(record.key.encode())
+        if key_bytes > MAX_KEY_BYTES:
+            return False
+        return 1 + key_bytes + len(record.value) <= self.record_bytes
+
+    def fit_call(self, records: Sequence[KeyedRecord]) -> bool:
+        """Whether the store accepts these records in one call."""
+        if not all(map(self.fits_record, records)):
+            return False
+        return sum(map(stored_size, records)) <= self.call_bytes
+
+
+DEFAULT_LIMITS = StoreLimits()
+
+
+def stored_size(record: KeyedRecord) -> int:
+    """Return the bytes that a record takes in a call, with its lengths."""
+    return _LENGTH_BYTES + 1 + len(record.key.encode()) + len(record.value)
+
+
 class Appended(NamedTuple):
     """The records are in the store, the first of them at `offset`."""
 
@@ -45,6 +98,12 @@
     reason: str
 
 
+class Refused(NamedTuple):
+    """Nothing was appended, and the store will never accept these records."""
+
+    reason: str
+
+
 class Uncertain(NamedTuple):
     """No response: the append may be executed, now or some seconds later."""
 
@@ -83,7 +142,7 @@
     reason: str
 
 
-AppendOutcome = Appended | EndMoved | NotAppended | Uncertain
+AppendOutcome = Appended | EndMoved | NotAppended | Refused | Uncertain
 ReadOutcome = RecordPage | Trimmed | Unavailable
 
 
--- a/orchidrail/types.py
+++ b/orchidrail/types.py
@@ -24,6 +24,9 @@
 TaskKey = NewType('TaskKey', str)
 #: Number of a start of one task; the members of a gang share it.
 RunNumber = NewType('RunNumber', int)
+#: Number of a block of a job's progress, from 0.
+BlockNumber = NewType('BlockNumber', int)
+FIRST_BLOCK = BlockNumber(0)
 #: ``host:port`` with an IP address as the host.
 Address = NewType('Address', str)
 #: Number of a lease period on one worker; increases when the holder changes.
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -6,12 +6,19 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 from collections.abc import Iterator
 
-from orchidrail.types import JobId, RunNumber, Seconds, WorkerId
+from orchidrail.types import (
+    FIRST_BLOCK,
+    BlockNumber,
+    JobId,
+    RunNumber,
+    Seconds,
+    WorkerId,
+)
 from orchidrail.work.model import JobSpec, QueueSettings
+from orchidrail.work.progress_blocks import ProgressBlocks
 from orchidrail.work.records import (
     ENDED_PHASES,
     DoneRow,
@@ -59,6 +66,7 @@
         #: All workers on which a task was ever placed.
         self.workers: set[WorkerId] = set()
         self._steps_by_round: dict[int, list[StepState]] = {}
+        self._blocks = ProgressBlocks()
 
     @property
     def spec(self) -> JobSpec:
@@ -147,6 +155,10 @@
         task.waiting_since = None
         task.run = run
         task.worker = worker
+        if task.block is None:
+            self._blocks.add(task)
+        else:
+            self._blocks.note_change(task)
         self.workers.add(worker)
         self.started = True
         if self.phase is JobPhase.QUEUED:
@@ -169,6 +181,7 @@
             return
         if run > task.run:
             self.place(task, run, task.worker)
+        self._blocks.note_change(task)
         latest = run == task.run
         if latest and checkpoint:
             task.checkpoint = checkpoint
@@ -195,17 +208,30 @@
             return False
         if not suspicion:
             return False
+        self._blocks.note_change(task)
         task.crashes += 1
         task.suspicion += suspicion
         if task.suspicion >= SUSPICION_LIMIT:
-            self._fail(FailureCause.CRASHED_WORKERS)
+            self.fail(FailureCause.CRASHED_WORKERS)
         return True
 
     def retract_crash(self, task: Task, suspicion: int) -> None:
         """Retract a crash, as the worker has turned out to be alive."""
+        self._blocks.note_change(task)
         task.crashes -= 1
         task.suspicion = max(0, task.suspicion - suspicion)
 
+    def clear_suspicion(self, task: Task) -> None:
+        """Clear the suspicion of a task that its worker has survived."""
+        self._blocks.note_change(task)
+        task.suspicion = 0
+
+    def note_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Record the checkpoint that a worker reports for a running task."""
+        if checkpoint and checkpoint != task.checkpoint:
+            self._blocks.note_change(task)
+            task.checkpoint = checkpoint
+
     def note_run(self, took: Seconds, worker: WorkerId) -> None:
         """Record the duration of a run, to explain delays of the job."""
         if took > self.longest_run:
@@ -214,11 +240,11 @@
 
     def failures(self) -> int:
         """Return the number of failed runs over all tasks."""
-        return sum(row.failures for row in self.rows())
+        return sum(task.failures for task in self._blocks.tasks())
 
     def crashes(self) -> int:
         """Return the largest number of workers that one task has crashed."""
-        return max((row.crashes for row in self.rows()), default=0)
+        return max((task.crashes for task in self._blocks.tasks()), default=0)
 
     def placed_on(self) -> set[WorkerId]:
         """Return the workers on which its tasks are placed."""
@@ -226,42 +252,69 @@
 
     def placed_tasks(self) -> list[Task]:
         """Return the tasks that are placed on workers."""
-        steps = itertools.chain.from_iterable(self._steps_by_round.values())
         return [
             task
-            for step in steps
-            for task in step.tasks
+            for task in self._blocks.tasks()
             if task.phase is TaskPhase.PLACED
         ]
 
     def rows(self) -> list[TaskRow]:
         """Return the records of the tasks that have been placed before."""
-        return [task.row() for task in self._started_tasks()]
+        return [task.row() for task in self._blocks.tasks()]
 
-    def short_rows(self) -> list[TaskRow | DoneRow]:
-        """Return the fields of these records that the next owner needs."""
-        return [task.short_row() for task in self._started_tasks()]
+    def short_rows(
+        self, block: BlockNumber = FIRST_BLOCK
+    ) -> list[TaskRow | DoneRow]:
+        """Return the records of a block that the next owner needs."""
+        return [task.short_row() for task in self._blocks.tasks_in(block)]
 
-    def restore(self, progress: Progress) -> None:
-        """Restore the progress that is recorded in the journal."""
+    def take_changed_blocks(self) -> list[BlockNumber]:
+        """Return the blocks to write: those changed since the last call."""
+        return self._blocks.take_changed()
+
+    def blocks(self) -> list[BlockNumber]:
+        """Return all blocks of its progress."""
+        return self._blocks.numbers()
+
+    def restore(
+        self, progress: Progress, block: BlockNumber = FIRST_BLOCK
+    ) -> None:
+        """Restore one block of the progress recorded in the journal."""
+        restored: list[Task] = []
         for row in progress.rows:
             task = self.find_task(row.round_number, row.step, row.index)
             if task is not None:
                 task.restore(row)
+                restored.append(task)
                 if task.worker:
                     self.workers.add(task.worker)
                 self.started = True
+        self._blocks.restore(block, restored)
+        self._complete_gangs({task.step for task in restored})
         if progress.rows:
             self.phase = JobPhase.RUNNING
 
-    def _started_tasks(self) -> list[Task]:
-        steps = itertools.chain.from_iterable(self._steps_by_round.values())
-        return [task for step in steps for task in step.tasks if task.run]
+    def _complete_gangs(self, steps: set[StepState]) -> None:
+        """Mark gangs as done of which a member is done.
+
+        Their members end together, but may be stored in different blocks.
+        """
+        for step in steps:
+            done = [task.phase is TaskPhase.DONE for task in step.tasks]
+            if step.spec.gang and any(done):
+                for task in step.tasks:
+                    task.phase = TaskPhase.DONE
+
+    def fail(self, cause: FailureCause) -> None:
+        """End the job as failed."""
+        self.phase = JobPhase.FAILED
+        self.cause = cause
 
     def _succeed(self, task: Task) -> None:
         members = task.step.tasks if task.step.spec.gang else (task,)
         for member in members:
             member.phase = TaskPhase.DONE
+            self._blocks.note_change(member)
         if self._all_done():
             self.phase = JobPhase.COMPLETED
 
@@ -274,14 +327,11 @@
         failure_count = max(member.failures for member in members) + 1
         for member in members:
             member.failures = failure_count
+            self._blocks.note_change(member)
         if task.step.spec.lasting:
             return
         if failure_count >= self.queue.max_attempts:
-            self._fail(FailureCause.ATTEMPTS)
-
-    def _fail(self, cause: FailureCause) -> None:
-        self.phase = JobPhase.FAILED
-        self.cause = cause
+            self.fail(FailureCause.ATTEMPTS)
 
     def _all_done(self) -> bool:
         return all(
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Collection, Sequence
 from enum import Enum, IntEnum
 from typing import NamedTuple
@@ -9,7 +10,9 @@
 import msgspec
 
 from orchidrail.types import (
+    FIRST_BLOCK,
     Address,
+    BlockNumber,
     Epoch,
     InstanceId,
     JobId,
@@ -32,6 +35,7 @@
 _JOB_PREFIX = 'j'
 _PROGRESS_PREFIX = 'p'
 _WORKER_PREFIX = 'w'
+_BLOCK_SEPARATOR = '.'
 
 
 class JobPhase(IntEnum):
@@ -66,6 +70,8 @@
     ATTEMPTS = 'attempts'
     #: A task crashed the workers that ran it.
     CRASHED_WORKERS = 'crashedWorkers'
+    #: The store does not accept its progress, so its tasks might run again.
+    NOT_STORABLE = 'notStorable'
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -152,17 +158,17 @@
 
 
 class Progress(msgspec.Struct, array_like=True):
-    """Progress of a job: its tasks that have been placed at least once."""
+    """Progress of a job, or one block of it: its tasks placed before."""
 
     rows: list[TaskRow]
 
 
 class StoredJob(NamedTuple):
-    """A job as read from the journal."""
+    """A job as read from the journal, with the blocks of its progress."""
 
     job_id: JobId
     record: JobRecord | EndedRecord
-    progress: Progress
+    progress_by_block: dict[BlockNumber, Progress]
 
 
 encode = msgspec.msgpack.Encoder().encode
@@ -175,10 +181,13 @@
 
 
 def encode_progress(rows: Sequence[TaskRow | DoneRow]) -> bytes:
-    """Encode the progress of a job, to be decoded as `Progress`."""
+    """Encode a block of a job's progress, to be decoded as `Progress`."""
     return encode((rows,))
 
 
+_NO_PROGRESS = encode_progress(())
+
+
 def job_key(job_id: JobId) -> str:
     """Return the journal key of a job.
 
@@ -190,9 +199,31 @@
     return f'{_JOB_PREFIX}{job_id}'
 
 
-def progress_key(job_id: JobId) -> str:
-    """Return the journal key of a job's progress."""
-    return f'{_PROGRESS_PREFIX}{job_id}'
+def progress_key(job_id: JobId, block: BlockNumber = FIRST_BLOCK) -> str:
+    """Return the journal key of a block of a job's progress.
+
+    The first block has the key under which versions without blocks store all.
+
+    Examples
+    --------
+    >>> progress_key(JobId('5c0e')), progress_key(JobId('5c0e'), BlockNumber(2))
+    ('p5c0e', 'p5c0e.2')
+    """
+    suffix = f'{_BLOCK_SEPARATOR}{block}' if block else ''
+    return f'{_PROGRESS_PREFIX}{job_id}{suffix}'
+
+
+def find_job_id(key: str) -> JobId | None:
+    """Return the job that a journal key belongs to, None if to no job.
+
+    Examples
+    --------
+    >>> find_job_id('p5c0e.2'), find_job_id('j5c0e'), find_job_id('wj1')
+    ('5c0e', '5c0e', None)
+    """
+    if key[:1] not in {_JOB_PREFIX, _PROGRESS_PREFIX}:
+        return None
+    return JobId(key[1:].partition(_BLOCK_SEPARATOR)[0])
 
 
 def worker_key(name: WorkerName) -> str:
@@ -222,30 +253,39 @@
     return [
         key
         for key in value_by_key
-        if key.startswith(_PROGRESS_PREFIX) and JobId(key[1:]) not in open_jobs
+        if key.startswith(_PROGRESS_PREFIX)
+        and find_job_id(key) not in open_jobs
     ]
 
 
+def read_records(
+    value_by_key: dict[str, bytes],
+) -> dict[JobId, JobRecord | EndedRecord]:
+    """Decode the records of all jobs of a journal, without their progress."""
+    return {
+        JobId(key[1:]): decode_job(raw)
+        for key, raw in value_by_key.items()
+        if key.startswith(_JOB_PREFIX)
+    }
+
+
 def read_jobs(value_by_key: dict[str, bytes]) -> list[StoredJob]:
-    """Decode all jobs of a journal."""
+    """Decode all jobs of a journal with their progress."""
+    progress_by_job: defaultdict[JobId, dict[BlockNumber, Progress]] = (
+        defaultdict(dict)
+    )
+    for key, raw in value_by_key.items():
+        if key.startswith(_PROGRESS_PREFIX):
+            job_id, _, block = key[1:].partition(_BLOCK_SEPARATOR)
+            blocks = progress_by_job[JobId(job_id)]
+            blocks[BlockNumber(int(block or 0))] = decode_progress(raw)
     return [
-        read_job(JobId(key[1:]), value_by_key)
-        for key in value_by_key
-        if key.startswith(_JOB_PREFIX)
+        StoredJob(job_id, record, progress_by_job.get(job_id, {}))
+        for job_id, record in read_records(value_by_key).items()
     ]
 
 
-def read_job(job_id: JobId, value_by_key: dict[str, bytes]) -> StoredJob:
-    """Decode one job of a journal.
-
-    Raises
-    ------
-    KeyError
-        If the journal has no such job.
-    """
-    record = decode_job(value_by_key[job_key(job_id)])
-    raw_progress = value_by_key.get(progress_key(job_id))
-    progress = (
-        Progress([]) if raw_progress is None else decode_progress(raw_progress)
-    )
-    return StoredJob(job_id, record, progress)
+def has_progress(job_id: JobId, value_by_key: dict[str, bytes]) -> bool:
+    """Whether a task of a job has ever been placed, by the journal."""
+    raw = value_by_key.get(progress_key(job_id))
+    return raw is not None and raw != _NO_PROGRESS
--- a/orchidrail/work/step.py
+++ b/orchidrail/work/step.py
@@ -5,7 +5,13 @@
 import math
 from typing import TYPE_CHECKING
 
-from orchidrail.types import RunNumber, Seconds, TaskKey, WorkerId
+from orchidrail.types import (
+    BlockNumber,
+    RunNumber,
+    Seconds,
+    TaskKey,
+    WorkerId,
+)
 from orchidrail.work.failed_workers import FailedWorkers
 from orchidrail.work.model import StepSpec
 from orchidrail.work.permits import Permits
@@ -23,6 +29,7 @@
     """One task of a step and its latest run."""
 
     __slots__ = (
+        'block',
         'checkpoint',
         'crashes',
         'failures',
@@ -58,6 +65,8 @@
         self.waiting_since: Seconds | None = None
         #: The ends of earlier runs were processed by a previous owner.
         self.first_open_run = RunNumber(0)
+        #: Block of its job's progress; None before its first run.
+        self.block: BlockNumber | None = None
 
     @property
     def key(self) -> TaskKey:
