Start the tasks of large jobs at a pace that the owner can keep

Callers saw: submissions without an answer for 12 s, then nothing running.

Cause: all tasks that fit were placed in one pass and their starts sent at once. The owner answered neither its peers nor its callers meanwhile, and most orders passed their deadline of 0.35 s.

Change: a job gets half of the starts in flight that the others leave (of 512, in flight from placement to the worker's response), so that small jobs behind a large one start beside it. At most 128 orders wait for an answer at a time; a gang is placed whole and started at that pace. Urgent jobs are counted apart. Waits for it show as reason `starts`.

--- a/orchidrail/shard/placer.py
+++ b/orchidrail/shard/placer.py
@@ -219,9 +219,10 @@
         """Place what a step may start, or record why it waits."""
         step = waiting.step
         in_limit = self._limits.allowed(waiting, this_pass)
-        allowed = in_limit
+        in_room = in_limit
         if waiting.has_slack(this_pass):
-            allowed = _apply_headroom(step, allowed, this_pass)
+            in_room = _apply_headroom(step, in_limit, this_pass)
+        allowed = self._pace(step, in_room)
         placed = 0
         blocked = waiting.blocked(this_pass)
         if allowed and blocked:
@@ -233,12 +234,24 @@
         if placed < len(allowed) and self._preemptor is not None:
             self._preemptor.consider(waiting, len(allowed) - placed, this_pass)
         if placed < len(waiting.tasks):
-            reason = _wait_reason(step, this_pass)
-            if len(allowed) < len(in_limit):
-                reason = WaitReason.HEADROOM
-            elif placed == len(in_limit):
-                reason = WaitReason.LIMIT
-            this_pass.reason_by_job[step.job.job_id] = reason
+            reason = _restriction(in_limit, in_room, allowed, placed)
+            this_pass.reason_by_job[step.job.job_id] = reason or _wait_reason(
+                step, this_pass
+            )
+
+    def _pace(self, step: StepState, tasks: list[Task]) -> list[Task]:
+        """Return the tasks that may be placed beside the starts in flight.
+
+        The members of a gang are placed together.
+        """
+        pacer = self._state.start_pacer
+        allowance = pacer.allowance(step.job)
+        if len(tasks) <= allowance:
+            return tasks
+        pacer.note_limited()
+        if step.spec.gang:
+            return tasks if allowance else []
+        return tasks[:allowance]
 
     def _defer_for_store(self, now: Seconds) -> bool:
         """Place nothing while the store has not responded for long."""
@@ -416,6 +429,20 @@
     )
 
 
+def _restriction(
+    in_limit: list[Task],
+    in_room: list[Task],
+    allowed: list[Task],
+    placed: int,
+) -> WaitReason | None:
+    """Return why tasks were not tried to be placed, None if all were."""
+    if len(allowed) < len(in_room):
+        return WaitReason.STARTS
+    if len(in_room) < len(in_limit):
+        return WaitReason.HEADROOM
+    return WaitReason.LIMIT if placed == len(in_limit) else None
+
+
 def _wait_reason(step: StepState, this_pass: PlacementPass) -> WaitReason:
     """Return why the remaining tasks of a step could not be placed."""
     if this_pass.workers.has_permitted(step):
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -113,6 +113,7 @@
         run = step.next_run([placement.task for placement in chosen])
         placed = [self._allocate(placement, run) for placement in chosen]
         commit = self._state.save(step.job)
+        self._state.start_pacer.add(len(placed), step.job)
         self._state.changed_jobs.add(step.job.job_id)
         zones = {placement.tracked.entry.zone for placement in chosen}
         for placed_run, placement in zip(placed, chosen, strict=True):
@@ -122,7 +123,7 @@
                 self._mark_unconfirmed, placed_run, placement.tracked
             )
             self._tasks.spawn(
-                self._start(commit, placed_run, placement, zones),
+                self._start_paced(commit, placed_run, placement, zones),
                 mark_unconfirmed,
             )
         _log.info(
@@ -375,6 +376,21 @@
                 tracked.session.lease.clock_at(now) + START_VALIDITY
             )
 
+    async def _start_paced(
+        self,
+        commit: Commit,
+        run: PlacedRun,
+        placement: Placement,
+        zones: set[str],
+    ) -> None:
+        """Start a run, and count it as in flight until its worker responds."""
+        job = placement.task.step.job
+        try:
+            await self._start(commit, run, placement, zones)
+        finally:
+            if self._state.start_pacer.remove(job):
+                self._state.pass_requested.set()
+
     async def _start(
         self,
         commit: Commit,
@@ -389,11 +405,19 @@
         zones : set of str
             Zones of all tasks that must start together.
         """
+        job = placement.task.step.job
+        if not await commit.wait():
+            return
+        async with self._state.start_pacer.order(job):
+            if placement.tracked.holds(run):
+                await self._order_start(run, placement, zones)
+
+    async def _order_start(
+        self, run: PlacedRun, placement: Placement, zones: set[str]
+    ) -> None:
         task, tracked = placement
         ticket = task.step.permits.ticket_by_worker.get(tracked.worker, '')
         job = task.step.job
-        if not await commit.wait() or not tracked.holds(run):
-            return
         obsolete = run.stopping or job.ended or tracked.overcommitted
         if obsolete or self._is_held(run, tracked, zones):
             # The worker's capacity may have shrunk since the placement.
--- a/orchidrail/shard/state.py
+++ b/orchidrail/shard/state.py
@@ -15,6 +15,7 @@
 from orchidrail.metrics import InstanceMetrics
 from orchidrail.shard.fair_shares import FairShares
 from orchidrail.shard.pending_advice import PendingAdviceRequests
+from orchidrail.shard.start_pacing import StartPacer
 from orchidrail.shard.tenant_ledger import (
     FindTenant,
     TenantLedger,
@@ -107,6 +108,7 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.started_at = clock()
+        self.start_pacer = StartPacer()
         self.pending_advice = PendingAdviceRequests(clock, metrics)
         self.job_by_id: dict[JobId, Job] = {}
         self.tracked_by_worker: dict[WorkerId, TrackedWorker] = {}
--- a/orchidrail/work/wait_times.py
+++ b/orchidrail/work/wait_times.py
@@ -23,6 +23,8 @@
     JOURNAL = 'journal'
     #: Its tenant to fall below its limit.
     LIMIT = 'limit'
+    #: Starts in flight to be answered: the next ones follow them.
+    STARTS = 'starts'
     #: The unreachable worker on which it is placed.
     LOST_WORKER = 'lostWorker'
 
