--- a/orchidrail/shard/admission.py
+++ b/orchidrail/shard/admission.py
@@ -6,10 +6,16 @@
 
 import structlog
 
+from orchidrail.shard.open_task_count import (
+    MAX_OPEN_TASKS,
+    OpenTaskCount,
+    count_tasks,
+)
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.stored_state import StoredState
 from orchidrail.types import Seconds, TenantId, WorkCode
 from orchidrail.work.model import JobSpec, QueueSettings, concurrent_size
+from orchidrail.work.records import encode
 from orchidrail.work.tenant import Tenant
 
 _log = structlog.get_logger()
@@ -23,6 +29,8 @@
 #: Minimum interval between two log lines on a tenant's rejected jobs, which may
 #: be hundreds.
 _LOG_INTERVAL: Seconds = 1.0
+#: Bytes of a job's record beside its specification: queue, tenant and times.
+_RECORD_RESERVE = 4096
 
 
 class Rejection(NamedTuple):
@@ -57,6 +65,7 @@
     def __init__(self, state: ShardState) -> None:
         """Use the limits and fair shares of `state`."""
         self._state = state
+        self._task_count = OpenTaskCount(state)
         #: Per tenant: time of the last log line on rejected jobs, and how many
         #: were rejected since.
         self._rejected_by_tenant: dict[TenantId, tuple[Seconds, int]] = {}
@@ -69,14 +78,17 @@
     ) -> Rejection | None:
         """Return why a job is rejected, None if it is accepted.
 
-        A task or gang above its tenant's limit would wait forever, so its
-        caller is told at once. One that was accepted before the limit was
-        lowered stays: the limit may be raised again. Work over its tenant's
+        A task or gang above its tenant's limit would wait forever, and a job
+        too large for the journal or an owner's memory could not be kept, so
+        their callers are told at once. A job that was accepted before the limit
+        was lowered stays: the limit may be raised again. Work over its tenant's
         fair share is rejected if others may need the capacity.
         """
         current = self._state.ledger.current(tenant)
-        if not self._fits(spec, current):
+        if not (self._is_storable(spec) and self._fits(spec, current)):
             return Rejection(WorkCode.NEVER_FITS)
+        if self._task_count.exceeds(spec):
+            return Rejection(WorkCode.REJECTED)
         time_until_within_share = self._state.shares.time_until_within_share(
             current
         )
@@ -105,6 +117,24 @@
             owed_in=round(time_until_within_share, 3),
         )
 
+    def _is_storable(self, spec: JobSpec) -> bool:
+        """Whether the journal and the memory of an owner can hold a job."""
+        tasks = count_tasks(spec)
+        size = len(encode(spec)) + _RECORD_RESERVE
+        if (
+            tasks <= MAX_OPEN_TASKS
+            and size <= self._state.writer.limits.max_value_bytes
+        ):
+            return True
+        _log.info(
+            'job too large',
+            tasks=tasks,
+            maximum_tasks=MAX_OPEN_TASKS,
+            size=size,
+            maximum_size=self._state.writer.limits.max_value_bytes,
+        )
+        return False
+
     def _fits(self, spec: JobSpec, current: Tenant) -> bool:
         for number, step in enumerate(spec.steps):
             concurrent = concurrent_size(step)
--- a/orchidrail/shard/tests/test_large_jobs.py
+++ b/orchidrail/shard/tests/test_large_jobs.py
@@ -9,7 +9,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
+from orchidrail.shard import admission, open_task_count
 from orchidrail.shard.owner import ShardOwner
 from orchidrail.shard.tests.fleet_case import FleetTestCase
 from orchidrail.store import (
@@ -24,6 +26,7 @@
     Offset,
     RunNumber,
     TenantId,
+    WorkCode,
     WorkerId,
 )
 from orchidrail.work import progress_blocks
@@ -38,7 +41,7 @@
     progress_key,
 )
 from orchidrail.work.size import Size
-from orchidrail.work.tenant import Tenant
+from orchidrail.work.tenant import ANONYMOUS_TENANT, Tenant
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.port import RunEnding
 
@@ -215,6 +218,40 @@
 
         self.run_scenario(scenario)
 
+    def test_jobs_that_can_not_be_kept_are_rejected_at_once(self) -> None:
+        async def scenario(owner: ShardOwner) -> None:
+            steps = tuple(StepSpec(1) for _ in range(100_000))
+            for spec in (
+                JobSpec('text', (StepSpec(1_000_000),)),
+                JobSpec('text', steps),
+            ):
+                self.assertIs(WorkCode.NEVER_FITS, self.reject(owner, spec))
+            self.assertIsNone(self.reject(owner, JobSpec('text', steps[:5000])))
+
+        self.run_scenario(scenario)
+
+    def test_jobs_beyond_an_owners_memory_wait_for_others_to_end(
+        self,
+    ) -> None:
+        async def scenario(owner: ShardOwner) -> None:
+            spec = JobSpec('text', (StepSpec(6, Size(10**8, 1)),))
+            self.assertIsNone(self.reject(owner, spec))
+            self.assertTrue(await owner.submit(_LARGE, _QUEUE, spec))
+            self.assertIs(WorkCode.REJECTED, self.reject(owner, spec))
+            await owner.cancel(_LARGE)
+            await asyncio.sleep(1)
+            self.assertIsNone(self.reject(owner, spec))
+
+        for module in (admission, open_task_count):
+            patcher = mock.patch.object(module, 'MAX_OPEN_TASKS', 10)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.run_scenario(scenario)
+
+    def reject(self, owner: ShardOwner, spec: JobSpec) -> WorkCode | None:
+        found = owner.find_rejection(_SMALL, _QUEUE, spec, ANONYMOUS_TENANT)
+        return None if found is None else found.code
+
     def test_a_gang_is_done_if_one_of_its_blocks_says_so(self) -> None:
         """Blocks are written by different appends, of which the last may lack.
 
--- a/orchidrail/types.py
+++ b/orchidrail/types.py
@@ -124,8 +124,8 @@
     UNCERTAIN = 'uncertain'
     #: The id belongs to a job of another tenant; none of its tasks will run.
     ID_CONFLICT = 'othersJob'
-    #: Part of the job exceeds its tenant's limit on running work; none of its
-    #: tasks will run.
+    #: Part of the job exceeds its tenant's limit on running work, or the job is
+    #: too large to be kept; none of its tasks will run.
     NEVER_FITS = 'neverFits'
     #: Over its tenant's fair share, with no free capacity for it; none of its
     #: tasks will run.
