Count a job as waiting until a worker confirms a start

Cause: placing a task marked its job as started, and nothing cleared that when the start was refused. A takeover did the same for each task placed before.

Change: a job counts as started once a worker has confirmed a start, lists a run or reports an end. After a takeover a waiting task without failures, crashes or a checkpoint shows none. First-start times still count from the first placement.

--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -107,7 +107,7 @@
 
     def launch(self, step: StepState, chosen: list[Placement]) -> None:
         """Place runs and order their starts once the journal has them."""
-        if not step.job.started:
+        if not step.job.placed:
             self._observe_wait(step.job)
         self._observe_task_waits(step.job, chosen)
         run = step.next_run([placement.task for placement in chosen])
@@ -438,6 +438,7 @@
         if answer.result in _QUARANTINE_RESULTS:
             tracked.quarantine(now)
         if answer.result is OrderResult.TAKEN:
+            job.started = True
             run.confirmed_at = now
             if run.isolated:
                 self._poll_after_startup(tracked)
@@ -584,6 +585,7 @@
             run.confirmed_at = now
         task = run.task
         if task is not None:
+            task.step.job.started = True
             task.step.job.note_checkpoint(task, active.checkpoint)
         self._crash_attributor.note_survival(tracked, run)
         self._ends.note_active(tracked, run)
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -15,11 +15,19 @@
 from orchidrail.store import NotAppended, Topic
 from orchidrail.store.memory import MemoryStore, StoreFault
 from orchidrail.testing import AsyncTestCase
-from orchidrail.types import Address, Epoch, InstanceId, JobId, Seconds
+from orchidrail.types import (
+    Address,
+    Epoch,
+    InstanceId,
+    JobId,
+    RunNumber,
+    Seconds,
+    WorkerId,
+)
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
 from orchidrail.work.records import JobPhase
 from orchidrail.work.tests.test_job import make_job
-from orchidrail.workers.port import Advice
+from orchidrail.workers.port import Advice, RunEnding
 from orchidrail.workers.tests.fakes import FakeWorker
 
 _ME = MemberInfo(InstanceId('me'), Address('me:1'), 'zone', 'me-1')
@@ -100,6 +108,26 @@
 
         self.run_scenario(scenario)
 
+    def test_job_counts_as_waiting_until_a_start_is_confirmed(self) -> None:
+        """A worker that rejects all starts must not hide the jobs that wait."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
+            job = owner.state.job_by_id[_JOB]
+            task = job.steps(0)[0].tasks[0]
+            job.place(task, RunNumber(1), WorkerId('w-1'))
+            job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
+            owner.state.save(job)
+            self.assertTrue(await owner.writer.flush())
+            self.assertEqual(1, owner.waiting_by_queue()[_QUEUE.name])
+            following = await self.take_ownership(1)
+            self.assertEqual(1, following.waiting_by_queue()[_QUEUE.name])
+            job.place(task, RunNumber(2), WorkerId('w-1'))
+            job.end_run(task, RunNumber(2), RunEnding.FAILED, '')
+            self.assertTrue(job.started)
+
+        self.run_scenario(scenario)
+
     def test_unsent_job_is_withdrawn(self) -> None:
         async def scenario(owner: ShardOwner) -> None:
             self.store.fault = StoreFault.REFUSES
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -194,6 +194,11 @@
             await asyncio.sleep(_ORDER_WAIT)
             self.assertEqual(64_000, shard.tracked.free.millicores)
             self.assertIs(TaskPhase.WAITING, step.tasks[0].phase)
+            self.assertFalse(step.job.started)
+            shard.worker.start_result = OrderResult.TAKEN
+            shard.launch(step)
+            await asyncio.sleep(_ORDER_WAIT)
+            self.assertTrue(step.job.started)
 
         self.run_scenario(scenario)
 
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -55,6 +55,9 @@
         self.record = record
         self.phase = JobPhase.QUEUED
         self.cause = FailureCause.NONE
+        #: Whether a task was ever placed.
+        self.placed = False
+        #: Whether a task is known to have begun: its worker has said so.
         self.started = False
         #: Whether the job is known to be in the journal.
         self.accepted = False
@@ -161,7 +164,7 @@
         else:
             self._blocks.note_change(task)
         self.workers.add(worker)
-        self.started = True
+        self.placed = True
         if self.phase is JobPhase.QUEUED:
             self.phase = JobPhase.RUNNING
 
@@ -183,6 +186,7 @@
         if run > task.run:
             self.place(task, run, task.worker)
         self._blocks.note_change(task)
+        self.started = self.started or ending is not RunEnding.LAPSED
         latest = run == task.run
         if latest and checkpoint:
             task.checkpoint = checkpoint
@@ -289,7 +293,8 @@
                 restored.append(task)
                 if task.worker:
                     self.workers.add(task.worker)
-                self.started = True
+                self.placed = True
+                self.started = self.started or _shows_start(row)
         self._blocks.restore(block, restored)
         self._complete_gangs({task.step for task in restored})
         if progress.rows:
@@ -344,3 +349,13 @@
                 break
             self._done_rounds += 1
         return self._done_rounds
+
+
+def _shows_start(row: TaskRow) -> bool:
+    """Whether a record shows that its task has begun.
+
+    A waiting task may have been placed on a worker that rejected its start.
+    """
+    if row.phase is not TaskPhase.WAITING:
+        return True
+    return bool(row.failures or row.crashes or row.checkpoint)
