--- a/orchidrail/shard/owner.py
+++ b/orchidrail/shard/owner.py
@@ -52,6 +52,7 @@
     encode,
     find_job_id,
     job_key,
+    progress_key,
     read_jobs,
     read_records,
 )
@@ -319,6 +320,9 @@
             return
         if key == job_key(job.job_id):
             self._drop(job)
+            # It may have been written without its job.
+            for block in job.blocks():
+                self.writer.put(progress_key(job.job_id, block), b'')
         else:
             self.runs.fail_job(job, FailureCause.NOT_STORABLE)
 
--- a/orchidrail/shard/tests/test_large_jobs.py
+++ b/orchidrail/shard/tests/test_large_jobs.py
@@ -212,9 +212,18 @@
             both = asyncio.gather(
                 owner.submit(_LARGE, _QUEUE, spec), self.submit_small(owner)
             )
+            await asyncio.sleep(0)
+            # It is placed while its record is being written.
+            job = owner.state.job_by_id[_LARGE]
+            _place_all(job)
+            owner.state.save(job)
             self.assertEqual([False, True], await both)
             self.assertIsNone(owner.phase(_LARGE))
             self.assertNotIn(_LARGE, owner.state.job_by_id)
+            await owner.writer.flush()
+            self.assertNotIn(
+                progress_key(_LARGE), owner.writer.view.value_by_key
+            )
 
         self.run_scenario(scenario)
 
