Move the stop orders to a module of their own; clearer names

RunStops orders and repeats stops; RunTracker tells it which. StartPacer.order is order_slots, OpenTaskCount.exceeds is reserve, as it counts the job.

--- a/orchidrail/shard/admission.py
+++ b/orchidrail/shard/admission.py
@@ -87,7 +87,7 @@
         current = self._state.ledger.current(tenant)
         if not (self._is_storable(spec) and self._fits(spec, current)):
             return Rejection(WorkCode.NEVER_FITS)
-        if self._task_count.exceeds(spec):
+        if not self._task_count.reserve(spec):
             return Rejection(WorkCode.REJECTED)
         time_until_within_share = self._state.shares.time_until_within_share(
             current
--- a/orchidrail/shard/open_task_count.py
+++ b/orchidrail/shard/open_task_count.py
@@ -33,10 +33,10 @@
         self._counted = 0
         self._counted_at: Seconds = -math.inf
 
-    def exceeds(self, spec: JobSpec) -> bool:
-        """Whether a new job is more than an owner can hold beside the others.
+    def reserve(self, spec: JobSpec) -> bool:
+        """Count the tasks of a new job; False if an owner can't hold them.
 
-        It counts towards the next jobs if it isn't.
+        A job that is not submitted after all counts until the next count.
         """
         now = self._state.clock()
         if now - self._counted_at >= _COUNT_VALIDITY:
@@ -46,6 +46,6 @@
             )
         total = self._counted + count_tasks(spec)
         if total > MAX_OPEN_TASKS:
-            return True
+            return False
         self._counted = total
-        return False
+        return True
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -16,6 +16,7 @@
 from orchidrail.shard.crash_evidence import IncarnationEnd
 from orchidrail.shard.inherited_runs import InheritedRuns
 from orchidrail.shard.run_ends import RunEnds, resume_wait
+from orchidrail.shard.run_stops import RunStops
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import (
     STARTUP_CRASH_WINDOW,
@@ -38,11 +39,6 @@
 from orchidrail.workers.session import START_VALIDITY, WorkerSession
 
 _log = structlog.get_logger()
-_STOP_INTERVAL: Seconds = 0.3
-#: How often the interval doubles while the worker answers.
-_MAX_STOP_DOUBLINGS = 3
-#: Number of answered stop orders after which a run still active is reported.
-_REPORTED_STOPS = 6
 _MILLIS = 1000
 #: Results after which the worker has certainly not started the run.
 _NOT_STARTED_RESULTS = frozenset(
@@ -66,10 +62,6 @@
         OrderResult.NOT_SENT,
     )
 )
-#: Results after which the same order may soon succeed.
-_TRANSIENT_RESULTS = frozenset(
-    (OrderResult.NOT_SENT, OrderResult.UNKNOWN, OrderResult.UNHEALTHY)
-)
 
 
 class RunTracker:
@@ -91,19 +83,20 @@
         stop_duration: Seconds,
     ) -> None:
         """Start without runs."""
-        self._stop_duration = stop_duration
         self._state = state
+        self._stops = RunStops(state, stop_duration)
         self._ends = RunEnds(state, self.stop, self.stop_job)
         self._crash_attributor = CrashAttributor(state)
         self._inherited = InheritedRuns(
             state, self._ends, self.presume_worker_lost
         )
         self._on_fenced = on_fenced
-        self._tasks = BackgroundTasks('order')
+        self._tasks = BackgroundTasks('start order')
 
     def close(self) -> None:
         """Cancel all orders in flight."""
         self._tasks.close()
+        self._stops.close()
 
     def launch(self, step: StepState, chosen: list[Placement]) -> None:
         """Place runs and order their starts once the journal has them."""
@@ -183,9 +176,7 @@
 
     def stop(self, tracked: TrackedWorker, run: PlacedRun) -> None:
         """Order the stop of a run, repeatedly until its end is known."""
-        if not run.stopping:
-            run.stopping = True
-            self._tasks.spawn(self._stop(tracked, run))
+        self._stops.order(tracked, run)
 
     def on_listing(
         self,
@@ -408,7 +399,7 @@
         job = placement.task.step.job
         if not await commit.wait():
             return
-        async with self._state.start_pacer.order(job):
+        async with self._state.start_pacer.order_slots(job):
             if placement.tracked.holds(run):
                 await self._order_start(run, placement, zones)
 
@@ -490,42 +481,6 @@
             resume_wait(run.task, run)
         self._ends.save_changed()
 
-    async def _stop(self, tracked: TrackedWorker, run: PlacedRun) -> None:
-        """Repeat the stop order until the end is known.
-
-        The lease is renewed meanwhile. A run that continues stays allocated,
-        and may keep its whole worker from getting work.
-        """
-        answered = 0
-        while tracked.holds(run) and not tracked.session.terminated:
-            answer = await tracked.session.stop(run.key)
-            if answer.result is OrderResult.FENCED:
-                return
-            if answer.result is OrderResult.TAKEN and not run.stop_confirmed:
-                # The worker won't start the run any more; an active run stays
-                # allocated until it has stopped. Only the first confirmation
-                # counts, or each would postpone the release of an absent run.
-                run.stop_confirmed = True
-                run.confirmed_at = self._state.clock() + self._stop_duration
-            if answer.result not in _TRANSIENT_RESULTS:
-                answered += 1
-                if answered == _REPORTED_STOPS:
-                    self._report_not_stopped(tracked, run, answer.result)
-            await asyncio.sleep(_stop_interval(answered))
-
-    def _report_not_stopped(
-        self, tracked: TrackedWorker, run: PlacedRun, result: OrderResult
-    ) -> None:
-        self._state.metrics.listings.runs_not_stopped.inc()
-        _log.warning(
-            'run not stopped',
-            task=run.key.task,
-            run=run.key.run,
-            worker=tracked.worker,
-            orders=_REPORTED_STOPS,
-            result=result.value,
-        )
-
     def _check_runs(self, tracked: TrackedWorker) -> None:
         self._stop_stalled(tracked)
         self._evict_best_effort(tracked)
@@ -599,18 +554,6 @@
         return task.phase is TaskPhase.PLACED and task.run == run.key.run
 
 
-def _stop_interval(answered: int) -> Seconds:
-    """Return the pause after a stop order, by how many were answered.
-
-    Examples
-    --------
-    >>> [_stop_interval(answered) for answered in (0, 1, 2, 3, 4, 9)]
-    [0.3, 0.3, 0.6, 1.2, 2.4, 2.4]
-    """
-    doublings = min(_MAX_STOP_DOUBLINGS, max(0, answered - 1))
-    return _STOP_INTERVAL * 2**doublings
-
-
 def _certainly_ended(
     run: PlacedRun,
     listing: Listing,
--- a/orchidrail/shard/start_pacing.py
+++ b/orchidrail/shard/start_pacing.py
@@ -72,9 +72,9 @@
         self._limited = False
         return resumes
 
-    def order(self, job: Job) -> asyncio.Semaphore:
+    def order_slots(self, job: Job) -> asyncio.Semaphore:
         """Return what bounds the orders sent and not answered yet.
 
-        A gang is placed as a whole, however many members it has.
+        A gang is placed as a whole, so its members may be more than that.
         """
         return self._orders_by_urgency[job.urgent]
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -12,7 +12,7 @@
 from orchidrail.journal import JournalView, JournalWriter
 from orchidrail.journal.writer import take_over
 from orchidrail.metrics import InstanceMetrics
-from orchidrail.shard import runs
+from orchidrail.shard import run_stops
 from orchidrail.shard.crash_evidence import IncarnationEnd
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
@@ -380,7 +380,7 @@
         """Its lease is renewed with that of all others there."""
 
         async def scenario(shard: Shard) -> None:
-            self.patch(runs, '_STOP_INTERVAL', 0.001)
+            self.patch(run_stops, '_STOP_INTERVAL', 0.001)
             shard.launch(shard.add(make_job(StepSpec(1))))
             await asyncio.sleep(_ORDER_WAIT)
             stop = shard.worker.stop
@@ -408,8 +408,8 @@
         """
 
         async def scenario(shard: Shard) -> None:
-            self.patch(runs, '_STOP_INTERVAL', 0.01)
-            shard.runs._stop_duration = 10 * 0.01
+            self.patch(run_stops, '_STOP_INTERVAL', 0.01)
+            shard.runs._stops._stop_duration = 10 * 0.01
             key = RunKey(TaskKey('f' * 16 + '.0.0.0'), RunNumber(1))
             shard.worker.active[key] = ActiveRun(key, '', 0)
             await shard.poll()
@@ -424,7 +424,7 @@
         """The worker confirms the stops but keeps the run active."""
 
         async def scenario(shard: Shard) -> None:
-            self.patch(runs, '_STOP_INTERVAL', 0.001)
+            self.patch(run_stops, '_STOP_INTERVAL', 0.001)
             shard.launch(shard.add(make_job(StepSpec(1))))
             await asyncio.sleep(_ORDER_WAIT)
             await shard.poll()
