--- a/review/parts_2/cell.py
+++ b/review/parts_2/cell.py
@@ -31,6 +31,7 @@
 _PEERS_PORTS = '7720,7735'
 _READY_SECONDS = 12.0
 _RESTART_SECONDS = 0.5
+_GRACE_SECONDS = 6.0
 _PR_SET_PDEATHSIG = 1
 _ROUTE = {
     'name': 'queue',
@@ -208,6 +209,16 @@
         if self._process is not None:
             await self._process.wait()
 
+    async def stop_and_restart(self) -> None:
+        """Stop the process as planned, and start it again."""
+        self.signal(signal.SIGTERM)
+        assert self._process is not None
+        try:
+            await asyncio.wait_for(self._process.wait(), _GRACE_SECONDS)
+        except TimeoutError:
+            await self.kill()
+        await self.restart()
+
     async def restart(self) -> None:
         """Start the process again after a short delay."""
         await asyncio.sleep(_RESTART_SECONDS)
--- a/review/parts_2/worker.py
+++ b/review/parts_2/worker.py
@@ -91,6 +91,10 @@
         self._run_ended = asyncio.Event()
         self._server = Server(self._handle)
         self._address = ''
+        self._sequence = 0
+        self._expiry: asyncio.TimerHandle | None = None
+        #: Set once the worker drains.
+        self._remaining_ms: int | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, host: str) -> None:
@@ -113,13 +117,6 @@
         for task, _ in self.run_by_key:
             self._activity.note_end(task, 'crashed')
         self.run_by_key.clear()
-        asyncio.get_running_loop().call_later(
-            _MISSED_HEARTBEATS * _HEARTBEAT_SECONDS,
-            self._store.put,
-            TOPIC,
-            self.name,
-            b'',
-        )
 
     def close(self) -> None:
         """End without a trace, as the case is over."""
@@ -141,13 +138,37 @@
         """Time on its steady clock."""
         return (time.monotonic() - self._clock_from) * self._rate * _MILLIS
 
+    def drain(self, remaining_ms: int) -> None:
+        """Declare that the worker drains; it serves on."""
+        self._remaining_ms = remaining_ms
+        self._write_entry()
+        self._record.write('worker: draining', worker=self.name)
+
     async def _write_entries(self) -> None:
-        for sequence in itertools.count(1):
+        while True:
             if not self.cut:
-                self._store.put(TOPIC, self.name, self._entry(sequence))
+                self._write_entry()
             await asyncio.sleep(_HEARTBEAT_SECONDS)
 
+    def _write_entry(self) -> None:
+        self._sequence += 1
+        entry = self._entry(self._sequence)
+        self._store.put(TOPIC, self.name, entry)
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self._expiry = asyncio.get_running_loop().call_later(
+            _MISSED_HEARTBEATS * _HEARTBEAT_SECONDS, self._expire
+        )
+
+    def _expire(self) -> None:
+        """Remove the entry, as the platform does without heartbeats."""
+        self._store.put(TOPIC, self.name, b'')
+        self._record.write('platform: entry removed', worker=self.name)
+
     def _entry(self, sequence: int) -> bytes:
+        draining = {}
+        if self._remaining_ms is not None:
+            draining = {'state': 'draining', 'remainingMs': self._remaining_ms}
         return json.dumps(
             {
                 'service': 'service',
@@ -161,6 +182,7 @@
                 'capacity': {'cpu': 64000, 'memMb': 128000, 'gpu': 0},
                 'labels': ['kind-a', f'r-{self._number % 3}'],
                 'machine': f'm-{self._number}',
+                **draining,
             }
         ).encode()
 
