An entry older than its owner shows no leave: no second run of its worker's task

Cause: a new owner took an entry that it read for the first time as just written, so its expiry within 2 s looked like a removal by the worker ("worker has left"), which ends its runs without waiting for the lease. The same for the first read after a gap, and for a write by somebody else under the worker's key.

Ruled out: leases that end too early ("lease ended", "never met"), a handover of the run as ended.

Change: `EntryHistory` is the one place that knows when entries were written. It gives a bound from above on an entry's age, infinite without a read before the write by the same owner and without a gap; `Fleet` concludes a leave only from that. The bound is 3 s, two of the three missed heartbeats of an expiry, as the age now includes the time between two reads (the old bound of 2 s did not). Log line "worker entry is missing" (`removed`, `age`).

Tests, failing before: test_draining_worker_with_entry_older_than_owner_may_still_run, test_draining_worker_with_entry_written_in_a_gap_may_still_run, test_another_writers_entry_does_not_show_a_leave. Two tests that set private times now wait for these times, or have the store fail; the clock of the test case advances between calls, without which the fault does not show.

A draining worker that leaves before a new owner has read one heartbeat of it (1.5 s) is given up only with its lease.

--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from functools import partial
@@ -14,6 +15,7 @@
 from orchidrail.background_tasks import BackgroundTasks
 from orchidrail.journal import JournalView
 from orchidrail.shard.crash_evidence import IncarnationEnd
+from orchidrail.shard.entry_history import EntryHistory
 from orchidrail.shard.runs import RunTracker
 from orchidrail.shard.state import ShardState
 from orchidrail.shard.tracked_worker import TrackedWorker
@@ -42,13 +44,6 @@
 #: Outage of the store after which entries may have expired: their expiry takes
 #: three heartbeats of 1.5 s.
 _ENTRIES_EXPIRE_AFTER: Seconds = 3.0
-#: An entry that disappears this soon after a write was removed: its expiry
-#: takes three missed heartbeats (4.5 s). A heartbeat is written each 1.5 s and
-#: read within 0.35 s.
-_REMOVED_WITHIN: Seconds = 2.0
-#: Gap between two reads that may hide an outage of the store, during which
-#: entries expire.
-_MAX_READ_GAP: Seconds = 1.0
 #: Delay before a failed session is restarted.
 _SESSION_RESTART_DELAY: Seconds = 0.5
 _decode_saved = msgspec.msgpack.Decoder(WorkerEntry).decode
@@ -120,10 +115,8 @@
         self._unread_workers: set[WorkerId] = set()
         self._task_by_worker: dict[WorkerId, asyncio.Task[None]] = {}
         self._sessions = BackgroundTasks('session')
-        #: When each entry was last seen to change.
-        self._written_at_by_name: dict[WorkerName, Seconds] = {}
+        self._history = EntryHistory()
         self._read_at = state.clock()
-        self._gap_ended_at = state.clock()
         #: Until then a worker without an entry may still be given work.
         self._entries_settled_at = state.clock() + _ENTRIES_RETURN_WITHIN
 
@@ -135,8 +128,9 @@
             sweeping = asyncio.create_task(self._sweep_on_end())
             stack.callback(sweeping.cancel)
             while True:
+                started_at = self._state.clock()
                 if await self._view.catch_up():
-                    self._record_read()
+                    self._record_read(started_at)
                     self._apply_entries()
                 self._sweep()
                 await asyncio.sleep(_READ_INTERVAL)
@@ -165,13 +159,12 @@
             self._open_session(entry)
             self._state.save_worker(entry)
 
-    def _record_read(self) -> None:
+    def _record_read(self, started_at: Seconds) -> None:
         now = self._state.clock()
         if now - self._read_at > _ENTRIES_EXPIRE_AFTER:
             self._entries_settled_at = now + _ENTRIES_RETURN_WITHIN
-        if now - self._read_at > _MAX_READ_GAP:
-            self._gap_ended_at = now
         self._read_at = now
+        self._history.begin_read(started_at, now)
 
     def _cancel_all(self) -> None:
         for task in self._task_by_worker.values():
@@ -184,16 +177,18 @@
             name = WorkerName(key)
             if self._raw_by_name.get(name) != raw:
                 self._raw_by_name[name] = raw
-                self._apply_entry(name, raw)
-                self._written_at_by_name[name] = now
+                if self._apply_entry(name, raw):
+                    self._history.note_written(name)
+                else:
+                    # Its expiry may not be postponed by another writer.
+                    self._history.forget(name)
         for tracked in self._state.tracked_by_worker.values():
             self._check_listed(tracked, raw_by_key, now)
         for name in self._raw_by_name.keys() - raw_by_key.keys():
             self._raw_by_name.pop(name)
             self._ended_by_name.pop(name, None)
             self._error_kind_by_name.pop(name, None)
-            if name not in self._worker_by_name:
-                self._written_at_by_name.pop(name, None)
+            self._history.forget(name)
 
     def _check_listed(
         self,
@@ -206,13 +201,26 @@
         listed = name in raw_by_key
         if listed:
             tracked.entry_missing_since = None
+            tracked.entry_removed = False
         elif tracked.entry_missing_since is None:
             tracked.entry_missing_since = now
+            tracked.entry_removed = self._history.is_removed(name)
+            self._log_missing(tracked)
         usable = listed and name not in self._error_kind_by_name
         may_return = not listed and now < self._entries_settled_at
         unread_entry = tracked.worker in self._unread_workers
         self._set_listed(tracked, (usable or may_return) and not unread_entry)
 
+    def _log_missing(self, tracked: TrackedWorker) -> None:
+        age = self._history.age(tracked.entry.name)
+        _log.info(
+            'worker entry is missing',
+            worker=tracked.worker,
+            state=tracked.entry.state.value,
+            removed=tracked.entry_removed,
+            age=round(age, 3) if math.isfinite(age) else None,
+        )
+
     def _set_listed(self, tracked: TrackedWorker, listed: bool) -> None:
         if tracked.listed is not listed:
             tracked.listed = listed
@@ -222,23 +230,24 @@
                 worker=tracked.worker,
             )
 
-    def _apply_entry(self, name: WorkerName, raw: bytes) -> None:
+    def _apply_entry(self, name: WorkerName, raw: bytes) -> bool:
+        """Apply an entry; return whether the worker certainly wrote it."""
         decoded = self._decode(name, raw)
         if not isinstance(decoded, Ok):
             self._reject_entry(name, decoded.err_value)
-            return
+            return False
         entry = decoded.ok_value
         if entry.born is not None and (
             entry.worker == self._ended_by_name.get(name)
         ):
-            return
+            return False
         tracked = self._find_tracked(name)
         if tracked is None and not self._serves(entry.service):
             reason = f'{entry.service!r}, expected the service of a queue'
             self._reject_entry(
                 name, InvalidEntry(EntryErrorKind.SERVICE, reason)
             )
-            return
+            return False
         if self._error_kind_by_name.pop(name, None) is not None:
             _log.info('worker entry understood', worker=name)
         if tracked is not None and not tracked.session.matches_incarnation(
@@ -256,8 +265,8 @@
         if tracked is None:
             self._open_session(entry)
             self._state.save_worker(entry)
-        else:
-            self._update_entry(tracked, entry)
+            return True
+        return self._update_entry(tracked, entry)
 
     def _reject_entry(self, name: WorkerName, error: InvalidEntry) -> None:
         """Reject an entry; log it once per error kind, not per change."""
@@ -278,10 +287,16 @@
             return None
         return self._state.tracked_by_worker.get(worker)
 
-    def _update_entry(self, tracked: TrackedWorker, entry: WorkerEntry) -> None:
-        """Apply a new entry of a known worker."""
+    def _update_entry(self, tracked: TrackedWorker, entry: WorkerEntry) -> bool:
+        """Apply a new entry of a known worker, unless it is not its own.
+
+        Returns
+        -------
+        Whether the worker certainly wrote it: the address is the one before.
+        """
+        same_address = entry.address == tracked.session.entry.address
         if not self._check_address(tracked, entry):
-            return
+            return False
         before = tracked.entry
         tracked.apply_entry(entry)
         changed = (entry.state, entry.capacity) != (
@@ -300,6 +315,7 @@
             )
             self._state.pass_requested.set()
             self._state.save_worker(entry)
+        return same_address
 
     def _check_address(
         self,
@@ -436,18 +452,11 @@
         Its entry is removed at once then. An expired entry is no evidence: the
         worker may be partitioned and still run its tasks.
         """
-        since = tracked.entry_missing_since
-        if since is None or tracked.entry.state is not WorkerState.DRAINING:
-            return False
-        if tracked.session.reachable or tracked.session.terminated:
+        session = tracked.session
+        draining = tracked.entry.state is WorkerState.DRAINING
+        if session.reachable or session.terminated:
             return False
-        written = self._written_at_by_name.get(
-            tracked.entry.name,
-            self._gap_ended_at,
-        )
-        return (
-            written > self._gap_ended_at and since - written < _REMOVED_WITHIN
-        )
+        return draining and tracked.entry_removed
 
     def _may_be_dropped(self, tracked: TrackedWorker, now: Seconds) -> bool:
         since = tracked.entry_missing_since
@@ -462,7 +471,7 @@
         if tracked.session.terminated:
             self._ended_by_name[name] = tracked.session.entry.worker
         tracked.session.close()
-        self._written_at_by_name.pop(name, None)
+        self._history.forget(name)
         self._worker_by_name.pop(name, None)
         self._unread_workers.discard(tracked.worker)
         self._state.tracked_by_worker.pop(tracked.worker, None)
--- a/orchidrail/shard/tests/fleet_case.py
+++ b/orchidrail/shard/tests/fleet_case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -39,6 +40,8 @@
 READ_WAIT = 0.5
 #: Clocks that start at 0 would hide times that were never set.
 _STARTED_AT: Seconds = 1000
+#: Time that passes between two calls of the clock.
+_CLOCK_STEP: Seconds = 1e-6
 JOB = JobId('0123456789abcdef')
 INVALID_ENTRY = b'bad'
 _decode_entry = msgspec.msgpack.Decoder(WorkerEntry).decode
@@ -59,14 +62,19 @@
     def setUp(self) -> None:
         super().setUp()
         self.store = MemoryStore()
+        self._calls = itertools.count()
 
     def run_async(self, work: Coroutine[Any, Any, ReturnT]) -> ReturnT:
         """See `AsyncTestCase.run_async`."""
         return run_in_virtual_time(asyncio.wait_for(work, TEST_TIMEOUT))
 
     def clock(self) -> Seconds:
-        """Return the monotonic clock of the owners."""
-        return _STARTED_AT + asyncio.get_running_loop().time()
+        """Return the monotonic clock of the owners.
+
+        As a real clock, it advances between any two calls.
+        """
+        advanced = next(self._calls) * _CLOCK_STEP
+        return _STARTED_AT + asyncio.get_running_loop().time() + advanced
 
     async def write_entry(self, listed: bool, name: str = 'w-1') -> None:
         entry = make_entry(name)
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from orchidrail.shard.tracked_worker import TrackedWorker
 from orchidrail.store import KeyedRecord
 from orchidrail.types import (
+    Address,
     Seconds,
     WorkerId,
 )
@@ -34,6 +36,8 @@
 from orchidrail.workers.tests.fakes import FakeWorker, make_entry
 
 _UNRESPONSIVE = WorkerId('w-2')
+#: Time without a write after which an entry expires: three heartbeats.
+_ENTRY_EXPIRY: Seconds = 4.5
 
 
 class _PartlyUnresponsive(FakeWorker):
@@ -139,12 +143,21 @@
 
         self.run_scenario(scenario)
 
+    async def _write_drain(self, sequence: int = 1) -> None:
+        """Write the entry of the draining worker; each write differs."""
+        entry = msgspec.structs.replace(
+            make_entry(), state=WorkerState.DRAINING, leaves_in=sequence
+        )
+        record = KeyedRecord(entry.worker, encode(entry))
+        await self.store.append(WORKERS, [record])
+
+    async def _fail_read(self, wait: Seconds = 0) -> bool:
+        return False
+
     async def _drain(self, owner: ShardOwner) -> TrackedWorker:
         """Make the worker announce that it leaves, then stop responding."""
         entry = make_entry()
-        draining = msgspec.structs.replace(entry, state=WorkerState.DRAINING)
-        record = KeyedRecord(entry.worker, encode(draining))
-        await self.store.append(WORKERS, [record])
+        await self._write_drain()
         await asyncio.sleep(READ_WAIT)
         workers = owner._ports.worker_calls
         assert isinstance(workers, FakeWorker)
@@ -169,23 +182,112 @@
     ) -> None:
         async def scenario(owner: ShardOwner) -> None:
             tracked = await self._drain(owner)
-            written_at = owner._fleet._written_at_by_name
-            owner._fleet._gap_ended_at -= 10
-            written_at[tracked.worker] -= 3
+            await asyncio.sleep(_ENTRY_EXPIRY)
+            await self.write_entry(listed=False)
+            await asyncio.sleep(READ_WAIT)
+            self.assertFalse(tracked.session.terminated)
+
+        self.run_scenario(scenario)
+
+    def test_draining_worker_with_entry_older_than_owner_may_still_run(
+        self,
+    ) -> None:
+        """Else a cut-off worker's task was started twice after a takeover.
+
+        The entry was written before the takeover and expires after it.
+        """
+
+        async def scenario(owner: ShardOwner) -> None:
+            await self._drain(owner)
+            unresponsive = FakeWorker()
+            unresponsive.hold_result = OrderResult.UNKNOWN
+            next_owner = await self.take_ownership(1, unresponsive)
+            running = asyncio.create_task(next_owner.run())
+            await asyncio.sleep(READ_WAIT)
+            worker = make_entry().worker
+            tracked = next_owner.state.tracked_by_worker[worker]
+            await self.write_entry(listed=False)
+            await asyncio.sleep(READ_WAIT)
+            running.cancel()
+            self.assertIsNotNone(tracked.entry_missing_since)
+            self.assertFalse(tracked.session.terminated)
+
+        self.run_scenario(scenario)
+
+    def test_draining_worker_with_entry_written_in_a_gap_may_still_run(
+        self,
+    ) -> None:
+        """The entry changes while the store is unreachable, then expires."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            tracked = await self._drain(owner)
+            with mock.patch.object(
+                owner._fleet._view, 'catch_up', self._fail_read
+            ):
+                await self._write_drain(sequence=2)
+                await asyncio.sleep(_ENTRY_EXPIRY)
+            await asyncio.sleep(READ_WAIT)
+            await self.write_entry(listed=False)
+            await asyncio.sleep(READ_WAIT)
+            self.assertIsNotNone(tracked.entry_missing_since)
+            self.assertFalse(tracked.session.terminated)
+
+        self.run_scenario(scenario)
+
+    def test_another_writers_entry_does_not_show_a_leave(self) -> None:
+        """It makes an entry that is about to expire look newly written."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            tracked = await self._drain(owner)
+            await asyncio.sleep(_ENTRY_EXPIRY - READ_WAIT)
+            foreign = msgspec.structs.replace(
+                tracked.entry, address=Address('elsewhere:1')
+            )
+            record = KeyedRecord(tracked.entry.name, encode(foreign))
+            await self.store.append(WORKERS, [record])
+            await asyncio.sleep(READ_WAIT)
             await self.write_entry(listed=False)
             await asyncio.sleep(READ_WAIT)
+            self.assertIsNotNone(tracked.entry_missing_since)
             self.assertFalse(tracked.session.terminated)
 
         self.run_scenario(scenario)
 
+    def test_draining_worker_has_left_if_its_write_was_seen_after_takeover(
+        self,
+    ) -> None:
+        """The next owner then waits for no lease either."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            await self._drain(owner)
+            unresponsive = FakeWorker()
+            unresponsive.hold_result = OrderResult.UNKNOWN
+            next_owner = await self.take_ownership(1, unresponsive)
+            running = asyncio.create_task(next_owner.run())
+            await asyncio.sleep(READ_WAIT)
+            worker = make_entry().worker
+            tracked = next_owner.state.tracked_by_worker[worker]
+            await self._write_drain(sequence=2)
+            await asyncio.sleep(READ_WAIT)
+            await self.write_entry(listed=False)
+            await asyncio.sleep(READ_WAIT)
+            running.cancel()
+            self.assertTrue(tracked.session.terminated)
+
+        self.run_scenario(scenario)
+
     def test_entry_missing_after_store_outage_is_no_evidence(
         self,
     ) -> None:
         async def scenario(owner: ShardOwner) -> None:
             tracked = await self._drain(owner)
-            owner._fleet._read_at -= 1.5
+            with mock.patch.object(
+                owner._fleet._view, 'catch_up', self._fail_read
+            ):
+                await asyncio.sleep(1.5)
             await self.write_entry(listed=False)
             await asyncio.sleep(READ_WAIT)
+            self.assertIsNotNone(tracked.entry_missing_since)
             self.assertFalse(tracked.session.terminated)
 
         self.run_scenario(scenario)
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -228,6 +228,9 @@
         self.listed = True
         #: Since when the store has no entry of the worker; None if it has one.
         self.entry_missing_since: Seconds | None = None
+        #: Whether the entry was removed; an entry that expired, or that this
+        #: owner never saw being written, is not known to be.
+        self.entry_removed = False
 
     def left_voluntarily(self) -> bool:
         """Whether the worker announced, or showed, that it leaves.
