A missing entry shows a leave only if the owner saw it being removed

`TrackedWorker.left_voluntarily` took any missing entry of a reachable worker for a leave without an announcement, also one that expired while the store was away or before a takeover. A crash after that counted as a leave, so the tasks that the worker ran were not suspected of it.

Change: the same evidence as for draining workers, `entry_removed`.

Test, failing before with ['crashed'] != ['left']: test_crash_of_worker_without_entry_at_takeover_is_no_leave. Two tests that set `entry_missing_since` by hand set `entry_removed` as well, as `Fleet` does.

--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import msgspec
+from structlog.testing import capture_logs
 
 from orchidrail.shard.owner import ShardOwner
 from orchidrail.shard.tests.fleet_case import (
@@ -253,6 +254,32 @@
 
         self.run_scenario(scenario)
 
+    def test_crash_of_worker_without_entry_at_takeover_is_no_leave(
+        self,
+    ) -> None:
+        """Else a task that crashes its workers was not suspected."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            await self.submit(owner)
+            # The entry expires, as during an outage of the store.
+            await self.write_entry(listed=False)
+            workers = _OtherIncarnations()
+            next_owner = await self.take_ownership(1, workers)
+            running = asyncio.create_task(next_owner.run())
+            await asyncio.sleep(READ_WAIT)
+            workers.crashed.add('w-1')
+            with capture_logs() as lines:
+                await asyncio.sleep(2 * READ_WAIT)
+            running.cancel()
+            reasons = [
+                line['reason']
+                for line in lines
+                if line['event'] == 'worker given up'
+            ]
+            self.assertEqual(['crashed'], reasons)
+
+        self.run_scenario(scenario)
+
     def test_draining_worker_has_left_if_its_write_was_seen_after_takeover(
         self,
     ) -> None:
--- a/orchidrail/shard/tests/test_lost_runs.py
+++ b/orchidrail/shard/tests/test_lost_runs.py
@@ -58,6 +58,7 @@
             await shard.poll()
             await shard.poll()
             shard.tracked.entry_missing_since = shard.state.clock()
+            shard.tracked.entry_removed = True
             self.assertFalse(shard.tracked.left_voluntarily())
 
         self.run_scenario(scenario)
@@ -65,6 +66,7 @@
     def test_entry_missing_before_crash_is_voluntary_leave(self) -> None:
         async def scenario(shard: Shard) -> None:
             shard.tracked.entry_missing_since = shard.state.clock()
+            shard.tracked.entry_removed = True
             shard.worker.hold_result = OrderResult.UNKNOWN
             await shard.poll()
             await shard.poll()
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -237,12 +237,13 @@
 
         A worker that leaves without an announcement removes its entry and keeps
         running for seconds; the entry of a crashed worker disappears seconds
-        after the crash.
+        after the crash. An entry that is missing for another reason shows
+        nothing.
         """
         if self.entry.state is WorkerState.DRAINING:
             return True
         lost_at = self.session.lost_at
-        if self.entry_missing_since is None:
+        if self.entry_missing_since is None or not self.entry_removed:
             return False
         return lost_at is None or self.entry_missing_since < lost_at
 
