A recorded placement is no start: jobs that haven't begun stay pending

`Job.restore` took it, and a recorded crash, for a run that has begun.

Evidence: the new owner restored 32 jobs, adopted 28 runs and listed 0 itself; the previous owner had logged "start not confirmed, result=unknown" for the other 4. Ruled out: stale counts of the previous owner's heartbeats (the owner's own process lists 0), starts taken as confirmed, jobs lost in the takeover.

Change: `Job.note_begun` is the one place where a task begins: by a worker's answer to its start, a listing or an ending. `TaskRow.begun` records it, with the next change of the task, so that a job that has begun and waits again is not pending under the next owner. Rows of older versions are read as before, but for placements and crashes; older versions ignore the new field.

--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -63,6 +63,7 @@
         if task is None:
             return
         job = task.step.job
+        job.note_begun(task)
         before = task.phase, task.run, task.failures
         job.end_run(task, ended.key.run, ended.ending, ended.checkpoint)
         if before == (task.phase, task.run, task.failures):
--- a/orchidrail/shard/runs.py
+++ b/orchidrail/shard/runs.py
@@ -429,7 +429,7 @@
         if answer.result in _QUARANTINE_RESULTS:
             tracked.quarantine(now)
         if answer.result is OrderResult.TAKEN:
-            job.started = True
+            job.note_begun(task)
             run.confirmed_at = now
             if run.isolated:
                 self._poll_after_startup(tracked)
@@ -540,7 +540,7 @@
             run.confirmed_at = now
         task = run.task
         if task is not None:
-            task.step.job.started = True
+            task.step.job.note_begun(task)
             task.step.job.note_checkpoint(task, active.checkpoint)
         self._crash_attributor.note_survival(tracked, run)
         self._ends.note_active(tracked, run)
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -128,6 +128,57 @@
 
         self.run_scenario(scenario)
 
+    def test_placed_job_that_has_not_begun_is_pending_after_a_takeover(
+        self,
+    ) -> None:
+        """Its start is recorded, but may never have arrived at its worker."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
+            job = owner.state.job_by_id[_JOB]
+            task = job.steps(0)[0].tasks[0]
+            job.place(task, RunNumber(1), WorkerId('w-1'))
+            owner.state.save(job)
+            self.assertTrue(await owner.writer.flush())
+            following = await self.take_ownership(1)
+            self.assertEqual(1, following.waiting_by_queue()[_QUEUE.name])
+
+        self.run_scenario(scenario)
+
+    def test_crash_before_a_start_arrives_does_not_count_as_begun(self) -> None:
+        """Else a job whose workers crash is missing from the pending ones."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
+            job = owner.state.job_by_id[_JOB]
+            task = job.steps(0)[0].tasks[0]
+            job.place(task, RunNumber(1), WorkerId('w-1'))
+            self.assertTrue(job.note_crash(task, RunNumber(1), 2))
+            job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
+            owner.state.save(job)
+            self.assertTrue(await owner.writer.flush())
+            following = await self.take_ownership(1)
+            self.assertEqual(1, following.waiting_by_queue()[_QUEUE.name])
+
+        self.run_scenario(scenario)
+
+    def test_job_that_has_begun_is_not_pending_after_a_takeover(self) -> None:
+        """Its worker was lost, so that its task waits again."""
+
+        async def scenario(owner: ShardOwner) -> None:
+            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
+            job = owner.state.job_by_id[_JOB]
+            task = job.steps(0)[0].tasks[0]
+            job.place(task, RunNumber(1), WorkerId('w-1'))
+            job.note_begun(task)
+            job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
+            owner.state.save(job)
+            self.assertTrue(await owner.writer.flush())
+            following = await self.take_ownership(1)
+            self.assertEqual(0, following.waiting_by_queue()[_QUEUE.name])
+
+        self.run_scenario(scenario)
+
     def test_unsent_job_is_withdrawn(self) -> None:
         async def scenario(owner: ShardOwner) -> None:
             self.store.fault = StoreFault.REFUSES
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -57,7 +57,7 @@
         self.cause = FailureCause.NONE
         #: Whether a task was ever placed.
         self.placed = False
-        #: Whether a task is known to have begun: its worker has said so.
+        #: Whether a task is known to have begun.
         self.started = False
         #: Whether the job is known to be in the journal.
         self.accepted = False
@@ -168,6 +168,15 @@
         if self.phase is JobPhase.QUEUED:
             self.phase = JobPhase.RUNNING
 
+    def note_begun(self, task: Task) -> None:
+        """Record that a worker has reported a run of a task.
+
+        It is written together with the next change of the task, as the worker
+        reports its runs to the next owner as well.
+        """
+        task.begun = True
+        self.started = True
+
     def end_run(
         self,
         task: Task,
@@ -186,7 +195,8 @@
         if run > task.run:
             self.place(task, run, task.worker)
         self._blocks.note_change(task)
-        self.started = self.started or ending is not RunEnding.LAPSED
+        if ending is not RunEnding.LAPSED:
+            self.note_begun(task)
         latest = run == task.run
         if latest and checkpoint:
             task.checkpoint = checkpoint
@@ -356,8 +366,9 @@
 def _shows_start(row: TaskRow) -> bool:
     """Whether a record shows that its task has begun.
 
-    A waiting task may have been placed on a worker that rejected its start.
+    A placement doesn't, as it is recorded before the start is sent. Nor does a
+    crash: the worker may have crashed before the start arrived. Journals of
+    older versions show only what workers reported of a run that has ended.
     """
-    if row.phase is not TaskPhase.WAITING:
-        return True
-    return bool(row.failures or row.crashes or row.checkpoint)
+    ended = row.phase is TaskPhase.DONE
+    return row.begun or ended or bool(row.failures or row.checkpoint)
--- a/orchidrail/work/records.py
+++ b/orchidrail/work/records.py
@@ -145,6 +145,9 @@
     #: Incarnation of the worker that runs it; None if the worker does not
     #: report it, and in journals of older versions.
     born: int | None = None
+    #: Whether a worker has reported that it began; False in journals of older
+    #: versions.
+    begun: bool = False
 
 
 class DoneRow(msgspec.Struct, array_like=True):
--- a/orchidrail/work/step.py
+++ b/orchidrail/work/step.py
@@ -32,6 +32,7 @@
     """One task of a step and its latest run."""
 
     __slots__ = (
+        'begun',
         'block',
         'checkpoint',
         'crashes',
@@ -55,6 +56,9 @@
         self.phase = TaskPhase.WAITING
         self.run = RunNumber(0)
         self.worker = WorkerId('')
+        #: Whether a worker has reported that one of its runs began. A placed
+        #: task may never have begun: its placement is recorded first.
+        self.begun = False
         self.failures = 0
         self.checkpoint = ''
         #: Workers that crashed while running it, and the resulting suspicion.
@@ -84,6 +88,7 @@
     def complete(self) -> None:
         """Mark the task as done; it is not resumed, so it has no checkpoint."""
         self.phase = TaskPhase.DONE
+        self.begun = True
         self.checkpoint = ''
 
     def row(self) -> TaskRow:
@@ -101,6 +106,7 @@
             self.crashes,
             self.suspicion,
             born,
+            self.begun,
         )
 
     def short_row(self) -> TaskRow | DoneRow:
@@ -126,6 +132,7 @@
         self.phase = TaskPhase(row.phase)
         self.run = row.run
         self.worker = incarnation_id(row.worker, row.born)
+        self.begun = row.begun or self.phase is TaskPhase.DONE
         self.failures = row.failures
         self.checkpoint = row.checkpoint
         self.crashes = row.crashes
