A record that can't be read hides no other one of its list

Cause: `PlatformLog.latest` decoded a listing as a whole and raised for a key that is no UTF-8, an odd value or a malformed answer. `Fleet.run` ended with it, so each owner in turn ended at its first read; `ConfigFollower.run` ends the process. A listing that the store can't continue after such a key was asked for the same page for good.

Change: a listing that can't be decoded as a whole is decoded record by record, the odd ones are logged and left out; a malformed listing or page counts as no answer. Keys read as in a page. `JournalView` ends a listing that does not advance.

Tests, failing before: test_an_odd_record_hides_no_other_one, test_a_key_is_the_same_in_a_listing_and_in_a_page, test_a_listing_continues_after_a_key_that_is_no_utf8, test_a_malformed_page_is_no_page, test_a_listing_that_does_not_advance_ends.

--- a/orchidrail/journal/follower.py
+++ b/orchidrail/journal/follower.py
@@ -116,6 +116,7 @@
         """
         listed: list[KeyedRecord] = []
         after = ''
+        seen: set[str] = set()
         start: Offset | None = None
         while True:
             page = await self.store.latest(self.topic, after)
@@ -124,6 +125,12 @@
             start = page.end if start is None else start
             listed.extend(page.records)
             after = page.after
+            if after in seen:
+                # Some stores can't continue after a key that is no UTF-8. The
+                # records that are left out follow as they are written again.
+                _log.warning('listing does not advance', after=ascii(after))
+                break
+            seen.add(after)
             if not after:
                 break
         self.value_by_key.clear()
--- a/orchidrail/journal/tests/test_follower.py
+++ b/orchidrail/journal/tests/test_follower.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from testtools import TestCase
 
 from orchidrail.journal import JournalView
-from orchidrail.store import KeyedRecord, Topic
+from orchidrail.store import KeyedRecord, LatestPage, Topic, Unavailable
 from orchidrail.store.memory import MemoryStore, StoreFault
 
 _TOPIC = Topic('journal')
@@ -52,6 +53,23 @@
         self.assertTrue(asyncio.run(self.view.catch_up()))
         self.assertEqual({'b', 'c'}, set(self.view.value_by_key))
 
+    def test_a_listing_that_does_not_advance_ends(self) -> None:
+        """Some stores can't continue after a key that is no UTF-8."""
+        self._append(*_records('a'))
+        latest = self.store.latest
+
+        async def repeat_last_page(
+            topic: Topic, after: str = ''
+        ) -> LatestPage | Unavailable:
+            page = await latest(topic, after)
+            assert isinstance(page, LatestPage)
+            return page._replace(after='\udcff')
+
+        with mock.patch.object(self.store, 'latest', repeat_last_page):
+            reading = asyncio.wait_for(self.view.catch_up(), 1)
+            self.assertTrue(asyncio.run(reading))
+        self.assertEqual({'a'}, set(self.view.value_by_key))
+
     def test_reports_a_failed_read(self) -> None:
         self.store.fault = StoreFault.REFUSES
         self.assertFalse(asyncio.run(self.view.catch_up()))
--- a/orchidrail/platform/store_log.py
+++ b/orchidrail/platform/store_log.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import base64
+import json
 import struct
 from urllib.parse import urlencode
 
 import msgspec
+import structlog
 
+from orchidrail.platform.fields import DECODE_ERRORS
 from orchidrail.store import (
     Appended,
     AppendOutcome,
@@ -26,6 +29,12 @@
 from orchidrail.store.relay import RawCall, SendCall
 from orchidrail.types import Offset, Seconds
 
+_log = structlog.get_logger()
+#: Exceptions that decoding a listing may raise; `binascii.Error` and
+#: `json.JSONDecodeError` are among them, as `ValueError`.
+_MALFORMED = (*DECODE_ERRORS, ValueError)
+#: The same where the items may be of any type.
+_NO_LISTING = (*_MALFORMED, TypeError, AttributeError)
 #: Streams written by the platform and by the operator.
 OPERATOR_TOPIC = Topic('keyed.op')
 WORKER_TOPIC = Topic('keyed.servers')
@@ -138,7 +147,7 @@
             RawCall('GET', target, b'', _TIMEOUT + wait, wait)
         )
         if answer.status == _OK:
-            return _decode_page(answer.body)
+            return _decode_page_or_log(answer.body)
         if answer.status == _GONE:
             return Trimmed(Offset(_decode_gone(answer.body).first))
         return Unavailable(f'{answer.status} {answer.body[:_MAX_QUOTED]!r}')
@@ -152,21 +161,13 @@
         query = {'topic': topic.name, 'part': topic.partition}
         if after:
             query['afterRevision'] = after
-        target = f'/log-newest?{urlencode(query)}'
+        # The key may be that of another writer, and no UTF-8.
+        encoded = urlencode(query, errors='surrogateescape')
+        target = f'/log-newest?{encoded}'
         answer = await self._call(RawCall('GET', target, b'', _TIMEOUT))
         if answer.status != _OK:
             return Unavailable(f'{answer.status} {answer.body[:_MAX_QUOTED]!r}')
-        listing = _decode_listing(answer.body)
-        records = [
-            KeyedRecord(item.tls_key, base64.b64decode(item.value))
-            for item in listing.items
-        ]
-        last = listing.items[-1].tls_key if listing.items else ''
-        return LatestPage(
-            records,
-            last if listing.more else '',
-            Offset(listing.end),
-        )
+        return _decode_latest(answer.body)
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
@@ -177,6 +178,101 @@
     )
 
 
+def _decode_latest(body: bytes) -> LatestPage | Unavailable:
+    """Decode a page of the newest records.
+
+    Keys and values by other writers may be anything. A page that can't be
+    decoded as a whole is decoded item by item, and the odd ones are left out:
+    else one of them would keep every reader from all others.
+    """
+    try:
+        listing = _decode_listing(body)
+        records = [
+            KeyedRecord(item.tls_key, base64.b64decode(item.value))
+            for item in listing.items
+        ]
+    except _MALFORMED as error:
+        _log.warning(
+            'listing not understood as a whole',
+            reason=str(error),
+            body=repr(body[:_MAX_QUOTED]),
+        )
+        return _decode_each_item(body)
+    last = listing.items[-1].tls_key if listing.items else ''
+    return LatestPage(
+        records, last if listing.more else '', Offset(listing.end)
+    )
+
+
+def _decode_each_item(body: bytes) -> LatestPage | Unavailable:
+    records: list[KeyedRecord] = []
+    after = ''
+    try:
+        found = json.loads(body.decode(errors='surrogateescape'))
+        listing = msgspec.convert({**found, 'items': []}, _Listing)
+        for item in found.get('items', ()):
+            after = _key_to_continue(item, after)
+            record = _convert_item(item)
+            if record is not None:
+                records.append(record)
+    except _NO_LISTING as error:
+        return Unavailable(f'{error!r}: {body[:_MAX_QUOTED]!r}')
+    return LatestPage(
+        records, after if listing.more else '', Offset(listing.end)
+    )
+
+
+def _convert_item(item: object) -> KeyedRecord | None:
+    """Return the record of an item, None if it is none."""
+    try:
+        one = msgspec.convert(item, _Item)
+        value = base64.b64decode(one.value)
+    except _MALFORMED as error:
+        _log.warning(
+            'record not understood',
+            item=ascii(item)[:_MAX_QUOTED],
+            reason=str(error),
+        )
+        return None
+    return KeyedRecord(_replace_surrogates(one.tls_key), value)
+
+
+def _replace_surrogates(key: str) -> str:
+    """Return a key as `_decode_page` does, if its bytes are known."""
+    try:
+        raw = key.encode(errors='surrogateescape')
+    except UnicodeEncodeError:
+        raw = key.encode(errors='surrogatepass')
+    return raw.decode(errors='replace')
+
+
+def _key_to_continue(item: object, before: str) -> str:
+    """Return the key of an item, to continue a listing after it.
+
+    Keys that can't be sent are skipped.
+    """
+    key = item.get('tlsKey') if isinstance(item, dict) else None
+    if not isinstance(key, str):
+        return before
+    try:
+        key.encode(errors='surrogateescape')
+    except UnicodeEncodeError:
+        return before
+    return key
+
+
+def _decode_page_or_log(body: bytes) -> RecordPage | Unavailable:
+    try:
+        return _decode_page(body)
+    except (struct.error, ValueError) as error:
+        _log.warning(
+            'records not understood',
+            reason=str(error),
+            body=repr(body[:_MAX_QUOTED]),
+        )
+        return Unavailable(f'{error!r}: {body[:_MAX_QUOTED]!r}')
+
+
 def _decode_page(body: bytes) -> RecordPage:
     end, _ = _POSITIONS.unpack_from(body)
     records: list[KeyedRecord] = []
@@ -185,6 +281,8 @@
         length = _LENGTH.unpack_from(body, position)[0]
         position += _LENGTH.size
         record = body[position : position + length]
+        if len(record) < length:
+            raise ValueError(f'record of {length!r} bytes, got {len(record)!r}')
         position += length
         key_end = 1 + record[0] if record else 0
         # Keys by other writers may be any bytes; they match no key in use.
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -23,6 +23,7 @@
     StoreLimits,
     Topic,
     Trimmed,
+    Unavailable,
     Uncertain,
 )
 from orchidrail.store.relay import RawAnswer, RawCall
@@ -115,6 +116,56 @@
         expected = LatestPage([KeyedRecord('a', b'v')], 'a', Offset(6))
         self.assertEqual(expected, page)
 
+    def test_an_odd_record_hides_no_other_one(self) -> None:
+        """Else every reader of the list ends, or stops following it."""
+        good = b'{"tlsKey":"a","value":"dg=="}'
+        for odd in (
+            b'{"tlsKey":"\xff","value":"dg=="}',
+            json.dumps({'tlsKey': '\udcff', 'value': 'dg=='}).encode(),
+            json.dumps({'tlsKey': '\ud800', 'value': 'dg=='}).encode(),
+            b'{"tlsKey":null}',
+            b'{"tlsKey":"b","value":"x"}',
+            b'{"tlsKey":"b","value":null}',
+            b'{"tlsKey":"b","offset":1e400}',
+            b'{"tlsKey":"b","offset":' + b'9' * 4000 + b'}',
+            b'[]',
+        ):
+            body = b'{"items":[%s,%s],"end":6}' % (odd, good)
+            self.answer = RawAnswer(200, body)
+            page = self.run_async(self.log.latest(_TOPIC))
+            assert isinstance(page, LatestPage)
+            self.assertIn(KeyedRecord('a', b'v'), page.records, odd)
+            self.assertEqual(Offset(6), page.end)
+
+    def test_a_key_is_the_same_in_a_listing_and_in_a_page(self) -> None:
+        self.answer = RawAnswer(200, b'{"items":[{"tlsKey":"\xffk"}],"end":1}')
+        listed = self.run_async(self.log.latest(_TOPIC))
+        head = (1).to_bytes(8, 'big') + (0).to_bytes(8, 'big')
+        self.answer = RawAnswer(200, head + b'\x00\x00\x00\x03\x02\xffk')
+        read = self.run_async(self.log.read(_TOPIC, Offset(0)))
+        assert isinstance(listed, LatestPage)
+        assert isinstance(read, RecordPage)
+        self.assertEqual(read.records, listed.records)
+
+    def test_a_listing_continues_after_a_key_that_is_no_utf8(self) -> None:
+        body = b'{"items":[{"tlsKey":"a"},{"tlsKey":"\xff"}],"more":true}'
+        self.answer = RawAnswer(200, body)
+        page = self.run_async(self.log.latest(_TOPIC))
+        assert isinstance(page, LatestPage)
+        self.run_async(self.log.latest(_TOPIC, page.after))
+        self.assertIn('afterRevision=%FF', self.calls[-1].target)
+
+    def test_a_malformed_page_is_no_page(self) -> None:
+        for body in (b'', b'<html>', b'null', b'{"items":5}', b'[' * 100_000):
+            self.answer = RawAnswer(200, body)
+            page = self.run_async(self.log.latest(_TOPIC))
+            self.assertIsInstance(page, Unavailable, body[:9])
+        head = (9).to_bytes(8, 'big') + (0).to_bytes(8, 'big')
+        for body in (b'', head[:9], head + b'\0', head + b'\0\0\0\5\1a'):
+            self.answer = RawAnswer(200, body)
+            records = self.run_async(self.log.read(_TOPIC, Offset(0)))
+            self.assertIsInstance(records, Unavailable, body)
+
 
 _NEEDED = ('service', 'address', 'zone', 'state', 'capacity', 'labels')
 
