An odd record among the instances ends no process

Cause: `MemberList.run` decoded all records of the member list and raised for one that is no instance. It is a part without which a process ends, so every instance ended each time it read the list.

Change: such a record is passed over, and logged once while it is the same.

Test, failing before (the part had ended): test_odd_entries_are_passed_over.

--- a/orchidrail/peers/members.py
+++ b/orchidrail/peers/members.py
@@ -17,6 +17,10 @@
 #: A new instance contacts all members itself, so the list is read rarely.
 _READ_INTERVAL: Seconds = 3.0
 _RETRY_PAUSE: Seconds = 0.25
+#: Exceptions that decoding untrusted bytes may raise.
+_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+#: Bytes of an entry that are quoted in a log line.
+_MAX_QUOTED = 120
 _decode = msgspec.msgpack.Decoder(MemberInfo).decode
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -35,6 +39,7 @@
         """Start unregistered."""
         self._view = view
         self._table = table
+        self._rejected_by_key: dict[str, bytes] = {}
 
     async def run(self) -> None:
         """Register this process, then read the list periodically."""
@@ -42,10 +47,29 @@
             await asyncio.sleep(_RETRY_PAUSE)
         while True:
             read = await self._view.catch_up()
-            for raw in self._view.value_by_key.values():
-                self._table.add_member(_decode(raw))
+            self._add_members()
             await asyncio.sleep(_READ_INTERVAL if read else _RETRY_PAUSE)
 
+    def _add_members(self) -> None:
+        """Add the members listed; entries by other writers are passed over."""
+        for key, raw in self._view.value_by_key.items():
+            try:
+                self._table.add_member(_decode(raw))
+            except _DECODE_ERRORS as error:
+                self._log_rejected(key, raw, error)
+
+    def _log_rejected(self, key: str, raw: bytes, error: Exception) -> None:
+        """Log an entry that is no member, once while it is the same."""
+        if self._rejected_by_key.get(key) == raw:
+            return
+        self._rejected_by_key[key] = raw
+        _log.warning(
+            'member entry passed over',
+            key=key,
+            entry=repr(raw[:_MAX_QUOTED]),
+            reason=str(error),
+        )
+
     async def _register(self) -> bool:
         me = self._table.me
         record = KeyedRecord(me.name, _encode(me))
