Bound every field and the key of a worker's entry

Tests, failing before: test_an_entry_with_an_invalid_field_is_rejected (16 more values), test_an_entry_with_an_invalid_name_is_rejected (5 more), test_an_invalid_request_gets_no_answer.

--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Annotated
+import re
 
 import msgspec
 from result import Err, Ok, Result
@@ -12,8 +12,10 @@
 from orchidrail.platform.fields import (
     DECODE_ERRORS,
     Count,
+    EntryText,
     HostPort,
-    NonEmptyText,
+    Labels,
+    Millis,
     PositiveCount,
 )
 from orchidrail.store import StoreLimits
@@ -39,6 +41,9 @@
 _MAX_TEXT_BYTES = 4000
 #: Bytes of an entry that are quoted in an error.
 _MAX_QUOTED = 120
+#: Names of workers: they are sent in a header, and as part of a journal key,
+#: which may have 255 bytes.
+_WORKER_NAME = re.compile(rf'(?!.*{BORN_SEPARATOR})[!-~]{{1,254}}')
 #: Field of `Bounds` and divisor to its unit, by settings key.
 _BOUND_BY_KEY = {
     'maxHoldMs': ('longest_lease', _MILLIS),
@@ -59,17 +64,17 @@
 
 
 class _Worker(msgspec.Struct, rename='camel'):
-    service: NonEmptyText
+    service: EntryText
     address: HostPort
-    zone: NonEmptyText
+    zone: EntryText
     state: WorkerState
     capacity: _Capacity
-    labels: list[str]
+    labels: Labels
     version: str = ''
     slots: Count = 0
     sequence: Count = 0
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
-    remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    warmup_left_ms: Millis = 0
+    remaining_ms: Millis = 0
     #: Start of the incarnation, Unix milliseconds.
     born: Count | None = None
 
@@ -121,8 +126,11 @@
     Fields that placement needs have no defaults: an entry without them is
     rejected.
     """
-    if not worker or BORN_SEPARATOR in worker:
-        reason = f'{worker!r}, expected a name without {BORN_SEPARATOR!r}'
+    if not _WORKER_NAME.fullmatch(worker):
+        reason = (
+            f'{worker[:_MAX_QUOTED]!r}, expected 1 to 254 printable ASCII '
+            f'characters without {BORN_SEPARATOR!r}'
+        )
         return Err(InvalidEntry(EntryErrorKind.NAME, reason))
     try:
         entry = _decode_worker(raw)
--- a/orchidrail/platform/http_calls.py
+++ b/orchidrail/platform/http_calls.py
@@ -236,6 +236,7 @@
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
         )
         self.calls = 0
+        self._invalid_logged = False
         self.last_response_at = now
         self.dropped = False
 
@@ -313,5 +314,13 @@
             return RawAnswer(0, repr(error).encode(), reached=False)
         except asyncio.TimeoutError:
             return RawAnswer(0, _TIMED_OUT)
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            if isinstance(error, ValueError):
+                self._log_invalid(address, error)
             return RawAnswer(0, repr(error).encode())
+
+    def _log_invalid(self, address: Address, error: ValueError) -> None:
+        """Log that an address or a header can't be put into a request."""
+        if not self._invalid_logged:
+            self._invalid_logged = True
+            _log.warning('invalid request', address=address, reason=str(error))
--- a/orchidrail/platform/tests/test_codecs.py
+++ b/orchidrail/platform/tests/test_codecs.py
@@ -344,10 +344,30 @@
             self.assertIs(EntryErrorKind.FIELD, kind)
 
     def test_an_entry_with_an_invalid_name_is_rejected(self) -> None:
-        for name in ('i-1@5', ''):
+        for name in (
+            'i-1@5',
+            '',
+            'i 1',
+            'i\r\n1',
+            '\N{SNOWMAN}',
+            '\N{REPLACEMENT CHARACTER}',
+            'i' * 255,
+        ):
             kind = self.error_kind(_entry(), name)
             self.assertIs(EntryErrorKind.NAME, kind)
 
+    def test_addresses_at_the_limits_are_taken(self) -> None:
+        for address in (
+            'a:1',
+            '10.1.0.5:65535',
+            'worker_7.zone-b.example:9999',
+            f'{"a" * 63}.{"b" * 63}:10000',
+        ):
+            self.assert_ok(
+                documents.decode_worker('i', _entry(address=address))
+            )
+        self.assert_ok(documents.decode_worker('i' * 254, _entry()))
+
     def error_kind(self, raw: bytes, name: str = 'i-1') -> EntryErrorKind:
         outcome = documents.decode_worker(name, raw)
         assert isinstance(outcome, Err)
@@ -370,7 +390,16 @@
             ('capacity', {'cpu': 5, 'memMb': 5, 'gpu': -1}),
             ('labels', 'kind'), ('labels', [1]), ('slots', '8'),
             ('sequence', 'x'), ('version', 3), ('warmupLeftMs', -4),
-            ('remainingMs', '9'),
+            ('remainingMs', '9'), ('remainingMs', 1e308),
+            ('warmupLeftMs', 2**64), ('address', 'a:65536'),
+            ('address', 'a:99999'), ('address', 'a:1\n'),
+            ('address', 'a:8\N{ARABIC-INDIC DIGIT THREE}'),
+            ('address', 'a\x00b:1'), ('address', '\N{SNOWMAN}:1'),
+            ('address', 'a?b#c:1'), ('address', 'a..b:1'),
+            ('address', f'{"a" * 64}:1'),
+            ('address', f'{".".join(("a" * 50, *"b" * 102))}:1'),
+            ('service', 's' * 256), ('zone', 'z' * 256),
+            ('labels', ['l' * 256]), ('labels', list('l' * 65)),
         ):  # fmt: skip
             kind = self.error_kind(_entry(**{field: given}))
             self.assertIs(EntryErrorKind.FIELD, kind, (field, given))
--- a/orchidrail/platform/tests/test_http_calls.py
+++ b/orchidrail/platform/tests/test_http_calls.py
@@ -106,6 +106,22 @@
         self.assertEqual(b'x' * _CHUNKS, answer.body)
         self.assertGreater(duration, _TIMEOUT)
 
+    def test_an_invalid_request_gets_no_answer(self) -> None:
+        """Else the session with a worker of such an entry fails each time."""
+
+        async def scenario() -> None:
+            caller = HttpCaller()
+            call = RawCall('GET', '/', b'', _TIMEOUT)
+            for address in ('a:99999', '\N{SNOWMAN}..x:1', f'{"a" * 300}:1'):
+                answer = await caller.call(Address(address), call)
+                self.assertEqual(0, answer.status)
+            header = {'X-Name': 'a\r\nb'}
+            answer = await caller.call(Address('127.0.0.1:9'), call, header)
+            self.assertEqual(0, answer.status)
+            await caller.close()
+
+        self.run_async(scenario())
+
     def test_an_unresponsive_receiver_times_out(self) -> None:
         answer, duration = self.call(0)
         self.assertEqual(0, answer.status)
