An entry that names another start doesn't end a worker that has runs

Cause: `Fleet._apply_entry` believed an entry against the worker that it is about.

Change: while the worker responds and has runs, such an entry is rejected with flaw `incarnation`, the worker is polled at once and the entry is read again. A worker that has restarted says so, or lists no runs any more; its entry is applied then.

--- a/orchidrail/shard/fleet.py
+++ b/orchidrail/shard/fleet.py
@@ -242,11 +242,9 @@
         ):
             return False
         tracked = self._find_tracked(name)
-        if tracked is None and not self._serves(entry.service):
-            reason = f'{entry.service!r}, expected the service of a queue'
-            self._reject_entry(
-                name, InvalidEntry(EntryErrorKind.SERVICE, reason)
-            )
+        error = self._check_entry(tracked, entry)
+        if error is not None:
+            self._reject_entry(name, error)
             return False
         if self._error_kind_by_name.pop(name, None) is not None:
             _log.info('worker entry understood', worker=name)
@@ -268,6 +266,29 @@
             return True
         return self._update_entry(tracked, entry)
 
+    def _check_entry(
+        self, tracked: TrackedWorker | None, entry: WorkerEntry
+    ) -> InvalidEntry | None:
+        """Return why an entry is rejected, None if it is valid.
+
+        An entry that names another start than a worker which runs tasks may be
+        by another writer. A worker that has restarted runs nothing, which a
+        poll shows; its entry is read again after that.
+        """
+        if tracked is None:
+            if self._serves(entry.service):
+                return None
+            reason = f'{entry.service!r}, expected the service of a queue'
+            return InvalidEntry(EntryErrorKind.SERVICE, reason)
+        if not tracked.shows_runs or tracked.session.matches_incarnation(
+            entry.born
+        ):
+            return None
+        tracked.session.poll_soon()
+        self._raw_by_name.pop(entry.name)
+        reason = f'{entry.worker!r}, expected {tracked.worker!r} with its runs'
+        return InvalidEntry(EntryErrorKind.INCARNATION, reason)
+
     def _reject_entry(self, name: WorkerName, error: InvalidEntry) -> None:
         """Reject an entry; log it once per error kind, not per change."""
         if self._error_kind_by_name.get(name) is error.kind:
--- a/orchidrail/shard/tests/fleet_case.py
+++ b/orchidrail/shard/tests/fleet_case.py
@@ -12,6 +12,7 @@
 
 from orchidrail.journal import JournalView
 from orchidrail.journal.writer import take_over
+from orchidrail.shard.fleet import EntryDecoder
 from orchidrail.shard.owner import ShardOwner
 from orchidrail.shard.tests.test_owner import make_ports
 from orchidrail.store import KeyedRecord, Topic
@@ -63,6 +64,7 @@
         super().setUp()
         self.store = MemoryStore()
         self._calls = itertools.count()
+        self.decode_entry: EntryDecoder = decode
 
     def run_async(self, work: Coroutine[Any, Any, ReturnT]) -> ReturnT:
         """See `AsyncTestCase.run_async`."""
@@ -89,7 +91,7 @@
         view = JournalView(self.store, Topic('journal'))
         writer = await take_over(view, ME, self.clock, Epoch(epoch))
         ports = make_ports(self.store)._replace(
-            decode_entry=decode,
+            decode_entry=self.decode_entry,
             worker_calls=workers or FakeWorker(),
             clock=self.clock,
             wall_clock=self.clock,
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -263,6 +263,11 @@
             return False
         return self.entry.state is WorkerState.READY
 
+    @property
+    def shows_runs(self) -> bool:
+        """Whether the worker responds and, as far as known, runs tasks."""
+        return self.session.reachable and bool(self.run_by_key)
+
     @property
     def in_service(self) -> bool:
         """Whether its capacity is part of its service's, open or closed."""
--- a/orchidrail/workers/entry_errors.py
+++ b/orchidrail/workers/entry_errors.py
@@ -17,6 +17,8 @@
     NAME = 'name'
     #: No queue is run by the service that it names.
     SERVICE = 'service'
+    #: It names another start of the worker than the worker itself.
+    INCARNATION = 'incarnation'
 
 
 class InvalidEntry(NamedTuple):
