A run that resumes from a checkpoint shows no speed, also once its task is done

Change: `apply_end` decides before the end is applied. `note_checkpoint` leaves out tasks that are done, so that they stay without one.

Test, failing before with two calls in place of one: test_resumed_run_shows_no_speed.

--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -65,6 +65,7 @@
         job = task.step.job
         job.note_begun(task)
         before = task.phase, task.run, task.failures
+        saved = task.checkpoint or ended.checkpoint
         job.end_run(task, ended.key.run, ended.ending, ended.checkpoint)
         if before == (task.phase, task.run, task.failures):
             return
@@ -74,7 +75,8 @@
             ended.ending.value,
         ).inc()
         if run is not None and ended.ending is RunEnding.DONE:
-            self._record_speed(tracked, run, task)
+            # A run that was resumed shows no whole duration.
+            self._record_speed(tracked, run, task, whole=not saved)
         self._record_outcome(tracked, run, task, ended.ending)
         if ended.ending is not RunEnding.DONE:
             _log.info(
@@ -147,13 +149,15 @@
         tracked: TrackedWorker,
         run: PlacedRun,
         task: Task,
+        *,
+        whole: bool,
     ) -> None:
         spec = task.step.spec
         duration = self._state.clock() - run.confirmed_at
         if not math.isfinite(duration):
             return
         task.step.job.note_run(duration, tracked.worker)
-        if spec.gang or task.checkpoint:
+        if spec.gang or not whole:
             return
         estimator = self._state.speeds
         estimator.note(
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -6,6 +6,7 @@
 import math
 import time
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from structlog.testing import capture_logs
 
@@ -202,6 +203,22 @@
 
         self.run_scenario(scenario)
 
+    def test_resumed_run_shows_no_speed(self) -> None:
+        """Its worker was taken for fast, as the run took less than its task."""
+
+        async def scenario(shard: Shard) -> None:
+            step = shard.add(make_job(StepSpec(2, estimate=1)))
+            step.tasks[0].checkpoint = 'saved'
+            shard.launch(step)
+            await asyncio.sleep(_ORDER_WAIT)
+            with mock.patch.object(shard.state.speeds, 'note') as note:
+                for task in step.tasks:
+                    shard.worker.end(RunKey(task.key, task.run), RunEnding.DONE)
+                    await shard.poll()
+            note.assert_called_once()
+
+        self.run_scenario(scenario)
+
     def test_unknown_run_blocks_worker_until_it_ends(self) -> None:
         async def scenario(shard: Shard) -> None:
             key = RunKey(TaskKey('f' * 16 + '.0.0.0'), RunNumber(1))
--- a/orchidrail/work/job.py
+++ b/orchidrail/work/job.py
@@ -243,6 +243,8 @@
 
     def note_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Record the checkpoint that a worker reports for a running task."""
+        if task.phase is TaskPhase.DONE:
+            return
         if checkpoint and checkpoint != task.checkpoint:
             self._blocks.note_change(task)
             task.checkpoint = checkpoint
