--- a/orchidrail/journal/follower.py
+++ b/orchidrail/journal/follower.py
@@ -112,11 +112,14 @@
         """Read the latest value of each key, then continue from the start.
 
         The start is the partition's end at the first page, so that no record
-        appended while the pages are read is missed.
+        appended while the pages are read is missed. From an incomplete listing
+        it can't be concluded that a key is gone. Journals need all records, and
+        are not read from one.
         """
         listed: list[KeyedRecord] = []
         after = ''
         seen: set[str] = set()
+        complete = True
         start: Offset | None = None
         while True:
             page = await self.store.latest(self.topic, after)
@@ -125,15 +128,20 @@
             start = page.end if start is None else start
             listed.extend(page.records)
             after = page.after
-            if after in seen:
-                # Some stores can't continue after a key that is no UTF-8. The
-                # records that are left out follow as they are written again.
-                _log.warning('listing does not advance', after=ascii(after))
-                break
+            # Some stores can't continue after a key that is no UTF-8.
+            advances = after not in seen
+            complete = complete and page.complete and advances
             seen.add(after)
-            if not after:
+            if not (after and advances):
                 break
-        self.value_by_key.clear()
+        if not complete:
+            _log.warning(
+                'listing incomplete', topic=self.topic.name, after=ascii(after)
+            )
+        if not complete and self.parts is not None:
+            return False
+        if complete:
+            self.value_by_key.clear()
         if self.parts is not None:
             self.parts.clear()
             # The parts of a value precede it, as in an append.
--- a/orchidrail/journal/tests/test_follower.py
+++ b/orchidrail/journal/tests/test_follower.py
@@ -53,22 +53,40 @@
         self.assertTrue(asyncio.run(self.view.catch_up()))
         self.assertEqual({'b', 'c'}, set(self.view.value_by_key))
 
-    def test_a_listing_that_does_not_advance_ends(self) -> None:
-        """Some stores can't continue after a key that is no UTF-8."""
-        self._append(*_records('a'))
+    def _list_incomplete(self, view: JournalView, **changes: object) -> bool:
+        """Catch up after a trim, by a listing without the first record."""
+        asyncio.run(view.catch_up())
+        self._append(*_records('c'))
+        self.store.trim(_TOPIC, 3)
         latest = self.store.latest
 
-        async def repeat_last_page(
+        async def list_page(
             topic: Topic, after: str = ''
         ) -> LatestPage | Unavailable:
             page = await latest(topic, after)
             assert isinstance(page, LatestPage)
-            return page._replace(after='\udcff')
-
-        with mock.patch.object(self.store, 'latest', repeat_last_page):
-            reading = asyncio.wait_for(self.view.catch_up(), 1)
-            self.assertTrue(asyncio.run(reading))
-        self.assertEqual({'a'}, set(self.view.value_by_key))
+            return page._replace(records=page.records[1:], **changes)
+
+        with mock.patch.object(self.store, 'latest', list_page):
+            return asyncio.run(asyncio.wait_for(view.catch_up(), 1))
+
+    def test_an_incomplete_listing_shows_no_removal(self) -> None:
+        """Else workers whose entries are left out are taken for gone.
+
+        A listing that does not advance is one: some stores can't continue after
+        a key that is no UTF-8.
+        """
+        for changes in ({'complete': False}, {'after': '\udcff'}):
+            self.store = MemoryStore()
+            self._append(*_records('a', 'b'))
+            view = JournalView(self.store, _TOPIC, splits_values=False)
+            self.assertTrue(self._list_incomplete(view, **changes))
+            self.assertEqual({'a', 'b', 'c'}, set(view.value_by_key))
+
+    def test_no_journal_is_read_from_an_incomplete_listing(self) -> None:
+        """Else the next owner loses the jobs that are left out."""
+        self._append(*_records('a', 'b'))
+        self.assertFalse(self._list_incomplete(self.view, complete=False))
 
     def test_reports_a_failed_read(self) -> None:
         self.store.fault = StoreFault.REFUSES
--- a/orchidrail/platform/store_log.py
+++ b/orchidrail/platform/store_log.py
@@ -218,7 +218,10 @@
     except _NO_LISTING as error:
         return Unavailable(f'{error!r}: {body[:_MAX_QUOTED]!r}')
     return LatestPage(
-        records, after if listing.more else '', Offset(listing.end)
+        records,
+        after if listing.more else '',
+        Offset(listing.end),
+        complete=len(records) == len(found.get('items', ())),
     )
 
 
--- a/orchidrail/store/port.py
+++ b/orchidrail/store/port.py
@@ -122,12 +122,14 @@
 
     `after` continues the listing and is empty on the last page. `end` is the
     end of the partition when the page was read; the pages of a listing are not
-    a consistent snapshot.
+    a consistent snapshot. A page that is not `complete` leaves out records that
+    can't be decoded.
     """
 
     records: list[KeyedRecord]
     after: str
     end: Offset
+    complete: bool = True
 
 
 class Trimmed(NamedTuple):
