An inherited run shows no speed of its worker

The duration of a run that a previous owner started counted from the takeover, so its worker was taken for fast, and the mean of its queue fell.

Change: `PlacedRun.inherited`; the duration of such a run is not used for the speed.

Test, failing before: test_inherited_run_shows_no_speed.

--- a/orchidrail/shard/inherited_runs.py
+++ b/orchidrail/shard/inherited_runs.py
@@ -53,6 +53,7 @@
             now,
             confirmed_at=now,
             ordered=True,
+            inherited=True,
             isolated=task is not None and task.suspected,
             left=lingering,
         )
--- a/orchidrail/shard/run_ends.py
+++ b/orchidrail/shard/run_ends.py
@@ -75,8 +75,9 @@
             ended.ending.value,
         ).inc()
         if run is not None and ended.ending is RunEnding.DONE:
-            # A run that was resumed shows no whole duration.
-            self._record_speed(tracked, run, task, whole=not saved)
+            # Nobody has seen a run that was resumed or inherited as a whole.
+            whole = not (saved or run.inherited)
+            self._record_speed(tracked, run, task, whole=whole)
         self._record_outcome(tracked, run, task, ended.ending)
         if ended.ending is not RunEnding.DONE:
             _log.info(
--- a/orchidrail/shard/tests/test_runs.py
+++ b/orchidrail/shard/tests/test_runs.py
@@ -219,6 +219,25 @@
 
         self.run_scenario(scenario)
 
+    def test_inherited_run_shows_no_speed(self) -> None:
+        """Its worker was taken for fast, as its start was not observed."""
+
+        async def scenario(shard: Shard) -> None:
+            job = make_job(StepSpec(1, estimate=1))
+            step = shard.add(job)
+            task = step.tasks[0]
+            job.place(task, RunNumber(1), shard.tracked.worker)
+            key = RunKey(task.key, task.run)
+            shard.worker.active[key] = ActiveRun(key, '', 50)
+            await shard.poll()
+            shard.worker.end(key, RunEnding.DONE)
+            with mock.patch.object(shard.state.speeds, 'note') as note:
+                await shard.poll()
+            note.assert_not_called()
+            self.assertIs(TaskPhase.DONE, task.phase)
+
+        self.run_scenario(scenario)
+
     def test_unknown_run_blocks_worker_until_it_ends(self) -> None:
         async def scenario(shard: Shard) -> None:
             key = RunKey(TaskKey('f' * 16 + '.0.0.0'), RunNumber(1))
--- a/orchidrail/shard/tracked_worker.py
+++ b/orchidrail/shard/tracked_worker.py
@@ -104,6 +104,8 @@
     #: Whether the start order was sent, or the run was found on the worker;
     #: otherwise the worker does not know of it.
     ordered: bool = False
+    #: Whether a previous owner started it, at an unknown time.
+    inherited: bool = False
     #: Whether the task is suspected and retried in isolation.
     isolated: bool = False
     #: Since when the task had waited when the run was placed; None if unknown.
