Test of evacuations: claim a network, as the other soak tests do

Cause: the test used the loopback network 127.203, which it did not claim. Two runs of the tests on one machine met there, and so could one run, as other tests claim the first free network of 127.201 on.

Evidence: the test started twice at the same time fails in one of the two processes before, and passes in both after.

--- a/soak/tests/test_evacuations.py
+++ b/soak/tests/test_evacuations.py
@@ -7,10 +7,10 @@
 from soak import evacuations
 from soak.evacuations import Evacuations
 from soak.ledger import Ledger
+from soak.networks import claim_network
 from soak.run import run_seed
 from soak.store import StoreStandIn
 
-_SLOT = 203
 _SECONDS = 16
 
 
@@ -45,7 +45,10 @@
 
         Processes are killed, paused and cut from the store meanwhile.
         """
-        outcome = run_seed(11, _SLOT, _SECONDS, crashing=False, evacuating=True)
+        with claim_network() as slot:
+            outcome = run_seed(
+                11, slot, _SECONDS, crashing=False, evacuating=True
+            )
         self.assertEqual([], outcome.violations)
         self.assertGreater(outcome.evacuations, 0)
         self.assertGreater(outcome.accepted, 0)
