--- a/orchidrail/peers/members.py
+++ b/orchidrail/peers/members.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from orchidrail.decoding import DECODE_ERRORS
 from orchidrail.journal import JournalView
 from orchidrail.peers.table import PeerTable
 from orchidrail.store import Appended, KeyedRecord
@@ -17,8 +18,6 @@
 #: A new instance contacts all members itself, so the list is read rarely.
 _READ_INTERVAL: Seconds = 3.0
 _RETRY_PAUSE: Seconds = 0.25
-#: Exceptions that decoding untrusted bytes may raise.
-_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 #: Bytes of an entry that are quoted in a log line.
 _MAX_QUOTED = 120
 _decode = msgspec.msgpack.Decoder(MemberInfo).decode
@@ -55,7 +54,7 @@
         for key, raw in self._view.value_by_key.items():
             try:
                 self._table.add_member(_decode(raw))
-            except _DECODE_ERRORS as error:
+            except DECODE_ERRORS as error:
                 self._log_rejected(key, raw, error)
 
     def _log_rejected(self, key: str, raw: bytes, error: Exception) -> None:
--- a/orchidrail/platform/configuration.py
+++ b/orchidrail/platform/configuration.py
@@ -10,7 +10,8 @@
 from result import Err, Ok, Result
 
 from orchidrail.access import KeyRing, digest_of
-from orchidrail.platform.fields import DECODE_ERRORS, Count, NonEmptyText
+from orchidrail.decoding import DECODE_ERRORS
+from orchidrail.platform.fields import Count, NonEmptyText
 from orchidrail.types import QueueName, ServiceName, TenantId, ZoneId
 from orchidrail.work.model import (
     AdviceCost,
--- a/orchidrail/platform/documents.py
+++ b/orchidrail/platform/documents.py
@@ -8,9 +8,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from orchidrail.decoding import DECODE_ERRORS
 from orchidrail.instance.settings import Bounds, InstanceSettings
 from orchidrail.platform.fields import (
-    DECODE_ERRORS,
     Count,
     EntryText,
     HostPort,
--- a/orchidrail/platform/fields.py
+++ b/orchidrail/platform/fields.py
@@ -10,8 +10,6 @@
 #: Above any capacity or count of a worker. As Unix milliseconds, it is enough
 #: for 280,000 years.
 _MAX_VALUE = 1 << _MAX_BITS
-#: Exceptions that decoding untrusted bytes may raise.
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 #: Longest text of an entry; real ones are far shorter.
 _MAX_TEXT_LENGTH = 255
--- a/orchidrail/platform/store_log.py
+++ b/orchidrail/platform/store_log.py
@@ -10,7 +10,7 @@
 import msgspec
 import structlog
 
-from orchidrail.platform.fields import DECODE_ERRORS
+from orchidrail.decoding import DECODE_ERRORS
 from orchidrail.store import (
     Appended,
     AppendOutcome,
@@ -182,8 +182,8 @@
     """Decode a page of the newest records.
 
     Keys and values by other writers may be anything. A page that can't be
-    decoded as a whole is decoded item by item, and the odd ones are left out:
-    else one of them would keep every reader from all others.
+    decoded as a whole is decoded item by item, so that a malformed item doesn't
+    hide the others.
     """
     try:
         listing = _decode_listing(body)
--- a/orchidrail/platform/worker_calls.py
+++ b/orchidrail/platform/worker_calls.py
@@ -9,7 +9,7 @@
 import msgspec
 import structlog
 
-from orchidrail.platform.fields import DECODE_ERRORS
+from orchidrail.decoding import DECODE_ERRORS
 from orchidrail.platform.http_calls import HttpCaller
 from orchidrail.platform.verified_connections import ConnectionProbe
 from orchidrail.store.relay import RawAnswer, RawCall
--- a/orchidrail/shard/tests/test_fleet.py
+++ b/orchidrail/shard/tests/test_fleet.py
@@ -155,6 +155,23 @@
     async def _fail_read(self, wait: Seconds = 0) -> bool:
         return False
 
+    async def _take_over_unresponsive(
+        self,
+    ) -> tuple[TrackedWorker, asyncio.Task[None]]:
+        """Let the next owner, to which the worker doesn't respond, take over.
+
+        Returns
+        -------
+        The worker as that owner tracks it, and the owner's task.
+        """
+        workers = FakeWorker()
+        workers.hold_result = OrderResult.UNKNOWN
+        next_owner = await self.take_ownership(1, workers)
+        running = asyncio.create_task(next_owner.run())
+        await asyncio.sleep(READ_WAIT)
+        worker = make_entry().worker
+        return next_owner.state.tracked_by_worker[worker], running
+
     async def _drain(self, owner: ShardOwner) -> TrackedWorker:
         """Make the worker announce that it leaves, then stop responding."""
         entry = make_entry()
@@ -200,13 +217,7 @@
 
         async def scenario(owner: ShardOwner) -> None:
             await self._drain(owner)
-            unresponsive = FakeWorker()
-            unresponsive.hold_result = OrderResult.UNKNOWN
-            next_owner = await self.take_ownership(1, unresponsive)
-            running = asyncio.create_task(next_owner.run())
-            await asyncio.sleep(READ_WAIT)
-            worker = make_entry().worker
-            tracked = next_owner.state.tracked_by_worker[worker]
+            tracked, running = await self._take_over_unresponsive()
             await self.write_entry(listed=False)
             await asyncio.sleep(READ_WAIT)
             running.cancel()
@@ -287,13 +298,7 @@
 
         async def scenario(owner: ShardOwner) -> None:
             await self._drain(owner)
-            unresponsive = FakeWorker()
-            unresponsive.hold_result = OrderResult.UNKNOWN
-            next_owner = await self.take_ownership(1, unresponsive)
-            running = asyncio.create_task(next_owner.run())
-            await asyncio.sleep(READ_WAIT)
-            worker = make_entry().worker
-            tracked = next_owner.state.tracked_by_worker[worker]
+            tracked, running = await self._take_over_unresponsive()
             await self._write_drain(sequence=2)
             await asyncio.sleep(READ_WAIT)
             await self.write_entry(listed=False)
--- a/orchidrail/shard/tests/test_owner.py
+++ b/orchidrail/shard/tests/test_owner.py
@@ -24,8 +24,10 @@
     Seconds,
     WorkerId,
 )
+from orchidrail.work.job import Job
 from orchidrail.work.model import JobSpec, MemberInfo, StepSpec
 from orchidrail.work.records import JobPhase
+from orchidrail.work.step import Task
 from orchidrail.work.tests.test_job import make_job
 from orchidrail.workers.port import Advice, RunEnding
 from orchidrail.workers.tests.fakes import FakeWorker
@@ -85,6 +87,20 @@
 
         self.run_async(run())
 
+    async def _submit_placed(self, owner: ShardOwner) -> tuple[Job, Task]:
+        """Submit a job and place its task, without a start."""
+        self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
+        job = owner.state.job_by_id[_JOB]
+        task = job.steps(0)[0].tasks[0]
+        job.place(task, RunNumber(1), WorkerId('w-1'))
+        return job, task
+
+    async def _count_after_takeover(self, owner: ShardOwner) -> int:
+        """Return how many jobs count as waiting under the next owner."""
+        self.assertTrue(await owner.writer.flush())
+        following = await self.take_ownership(1)
+        return following.waiting_by_queue()[_QUEUE.name]
+
     def test_job_is_scheduled_if_its_caller_disconnects(self) -> None:
         async def scenario(owner: ShardOwner) -> None:
             submitting = asyncio.create_task(owner.submit(_JOB, _QUEUE, _SPEC))
@@ -112,10 +128,7 @@
         """A worker that rejects all starts must not hide the jobs that wait."""
 
         async def scenario(owner: ShardOwner) -> None:
-            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
-            job = owner.state.job_by_id[_JOB]
-            task = job.steps(0)[0].tasks[0]
-            job.place(task, RunNumber(1), WorkerId('w-1'))
+            job, task = await self._submit_placed(owner)
             job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
             owner.state.save(job)
             self.assertTrue(await owner.writer.flush())
@@ -134,14 +147,9 @@
         """Its start is recorded, but may never have arrived at its worker."""
 
         async def scenario(owner: ShardOwner) -> None:
-            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
-            job = owner.state.job_by_id[_JOB]
-            task = job.steps(0)[0].tasks[0]
-            job.place(task, RunNumber(1), WorkerId('w-1'))
+            job, _ = await self._submit_placed(owner)
             owner.state.save(job)
-            self.assertTrue(await owner.writer.flush())
-            following = await self.take_ownership(1)
-            self.assertEqual(1, following.waiting_by_queue()[_QUEUE.name])
+            self.assertEqual(1, await self._count_after_takeover(owner))
 
         self.run_scenario(scenario)
 
@@ -149,16 +157,11 @@
         """Else a job whose workers crash is missing from the pending ones."""
 
         async def scenario(owner: ShardOwner) -> None:
-            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
-            job = owner.state.job_by_id[_JOB]
-            task = job.steps(0)[0].tasks[0]
-            job.place(task, RunNumber(1), WorkerId('w-1'))
+            job, task = await self._submit_placed(owner)
             self.assertTrue(job.note_crash(task, RunNumber(1), 2))
             job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
             owner.state.save(job)
-            self.assertTrue(await owner.writer.flush())
-            following = await self.take_ownership(1)
-            self.assertEqual(1, following.waiting_by_queue()[_QUEUE.name])
+            self.assertEqual(1, await self._count_after_takeover(owner))
 
         self.run_scenario(scenario)
 
@@ -166,16 +169,11 @@
         """Its worker was lost, so that its task waits again."""
 
         async def scenario(owner: ShardOwner) -> None:
-            self.assertTrue(await owner.submit(_JOB, _QUEUE, _SPEC))
-            job = owner.state.job_by_id[_JOB]
-            task = job.steps(0)[0].tasks[0]
-            job.place(task, RunNumber(1), WorkerId('w-1'))
+            job, task = await self._submit_placed(owner)
             job.note_begun(task)
             job.end_run(task, RunNumber(1), RunEnding.LAPSED, '')
             owner.state.save(job)
-            self.assertTrue(await owner.writer.flush())
-            following = await self.take_ownership(1)
-            self.assertEqual(0, following.waiting_by_queue()[_QUEUE.name])
+            self.assertEqual(0, await self._count_after_takeover(owner))
 
         self.run_scenario(scenario)
 
